--- a/crates/policy/src/clock.rs
+++ b/crates/policy/src/clock.rs
@@ -13,6 +13,9 @@
 
     /// Wall time at process start plus the monotonic time elapsed since then, so it never goes back.
     fn wall(&self) -> SystemTime;
+
+    /// Time since the start of the VM, including time for which it was suspended.
+    fn boot(&self) -> Duration;
 }
 
 /// The clock of the operating system.
@@ -47,6 +50,14 @@
     fn wall(&self) -> SystemTime {
         self.wall + self.start.elapsed()
     }
+
+    fn boot(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(
+            u64::try_from(time.tv_sec).unwrap_or(0),
+            u32::try_from(time.tv_nsec).unwrap_or(0),
+        )
+    }
 }
 
 /// A clock that moves only when told to.
@@ -94,4 +105,8 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
+
+    fn boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
--- /dev/null
+++ b/crates/policy/src/fleet/tests.rs
@@ -0,0 +1,93 @@
+//! Guards against late words of dead instances, and against an emptied fleet after an outage.
+
+use std::time::{Duration, Instant};
+
+use super::{Announcement, Fleet, SETTLE, State, VmEntry};
+
+fn announcement(instance: &str, born: u64, sequence: u64, state: State) -> Announcement {
+    Announcement {
+        instance: instance.into(),
+        service: "inventario".into(),
+        data_centre: "madrid".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        slots: 12,
+        state,
+        cold: Duration::ZERO,
+        born,
+        sequence,
+    }
+}
+
+fn entry(endpoint: Announcement) -> VmEntry {
+    VmEntry {
+        vm: "vm-1".into(),
+        peer: "10.0.0.1:90".parse().unwrap(),
+        data_centre: "madrid".into(),
+        endpoint,
+    }
+}
+
+#[test]
+fn a_late_heartbeat_of_a_dead_instance_changes_nothing() {
+    let dead = announcement("i-1", 1_000, 90, State::Ready);
+    let alive = announcement("i-2", 2_000, 1, State::Ready);
+    assert!(alive.replaces(&dead));
+    assert!(!dead.replaces(&alive));
+}
+
+#[test]
+fn the_same_id_with_a_later_start_begins_anew() {
+    let dead = announcement("i-1", 1_000, 90, State::Gone);
+    let reborn = announcement("i-1", 2_000, 1, State::Ready);
+    assert!(reborn.replaces(&dead));
+    assert!(!dead.replaces(&reborn));
+}
+
+#[test]
+fn an_ended_instance_does_not_return() {
+    let gone = announcement("i-1", 1_000, 5, State::Gone);
+    let late = announcement("i-1", 1_000, 9, State::Ready);
+    assert!(!late.replaces(&gone));
+    assert!(gone.replaces(&announcement("i-1", 1_000, 5, State::Draining)));
+}
+
+#[test]
+fn sequence_orders_words_of_one_start() {
+    let older = announcement("i-1", 1_000, 5, State::Ready);
+    let newer = announcement("i-1", 1_000, 6, State::Draining);
+    assert!(newer.replaces(&older));
+    assert!(!older.replaces(&newer));
+}
+
+#[test]
+fn a_lapsed_entry_stays_until_it_had_time_to_return() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new();
+    fleet.written(entry(announcement("i-1", 1, 1, State::Ready)), 7);
+    fleet.removed(now, "vm-1", 8);
+    assert_eq!(fleet.ready("inventario").len(), 1);
+    assert!(fleet.expire(now + SETTLE / 2, |_| false).is_empty());
+    fleet.written(entry(announcement("i-1", 1, 1, State::Ready)), 9);
+    assert!(fleet.expire(now + SETTLE * 2, |_| false).is_empty());
+    fleet.removed(now, "vm-1", 10);
+    assert!(fleet.expire(now + SETTLE * 2, |_| true).is_empty());
+    assert_eq!(fleet.expire(now + SETTLE * 2, |_| false).len(), 1);
+    assert!(fleet.ready("inventario").is_empty());
+}
+
+#[test]
+fn an_old_removal_does_not_undo_a_newer_write() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new();
+    fleet.written(entry(announcement("i-1", 1, 1, State::Ready)), 9);
+    fleet.removed(now, "vm-1", 8);
+    assert!(fleet.expire(now + SETTLE * 2, |_| false).is_empty());
+}
+
+#[test]
+fn draining_endpoints_are_not_ready() {
+    let mut fleet = Fleet::new();
+    fleet.written(entry(announcement("i-1", 1, 1, State::Ready)), 1);
+    assert!(fleet.stated("vm-1", announcement("i-1", 1, 2, State::Draining)));
+    assert!(fleet.ready("inventario").is_empty());
+}
--- /dev/null
+++ b/crates/policy/src/lane.rs
@@ -0,0 +1,187 @@
+//! The queue of one endpoint, held by the daemon beside it.
+//!
+//! Answers a load that exceeds the endpoint's slots: every call passes this one queue, so rank and
+//! deadline are decided here. Calls start in the order of their rank and, within a rank, of their
+//! deadline. A call that cannot finish in time behind those ahead of it is refused while its caller
+//! can still use the refusal, instead of when its deadline passes.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+#[cfg(test)]
+mod tests;
+
+/// Number of a waiting call.
+pub type WaitingId = u64;
+
+/// Share of the slots in use at once. Endpoints slow down when they are nearly full.
+const SLOT_SHARE: f64 = 0.95;
+
+/// Weight of a new sample in the mean holding time.
+const SAMPLE_WEIGHT: f64 = 0.05;
+
+/// Holding time before the first sample.
+const FIRST_GUESS: Duration = Duration::from_millis(50);
+
+/// Place in the queue: rank, deadline, order of arrival.
+type Place = (u32, Instant, WaitingId);
+
+/// A call that asks for a slot.
+#[derive(Debug)]
+pub struct Bid<T> {
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
+    /// When the answer must be there.
+    pub due: Instant,
+    /// Time that the endpoint needs for it.
+    pub expected: Duration,
+    /// The call.
+    pub job: T,
+}
+
+/// What becomes of a bid.
+#[derive(Debug)]
+pub enum Offer<T> {
+    /// It has a slot and starts now.
+    Start(T),
+    /// It waits under this number.
+    Waiting(WaitingId),
+    /// It cannot be served in time.
+    Refused(T),
+}
+
+/// Queue and slots of one endpoint.
+#[derive(Debug)]
+pub struct Lane<T> {
+    limit: usize,
+    running: usize,
+    held: Duration,
+    next: WaitingId,
+    waiting: BTreeMap<Place, Bid<T>>,
+    places: BTreeMap<WaitingId, Place>,
+}
+
+impl<T> Lane<T> {
+    /// A lane for an endpoint with this many slots.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        let mut lane = Self {
+            limit: 1,
+            running: 0,
+            held: FIRST_GUESS,
+            next: 0,
+            waiting: BTreeMap::new(),
+            places: BTreeMap::new(),
+        };
+        lane.set_slots(slots);
+        lane
+    }
+
+    /// Changes the number of slots.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit = ((f64::from(slots) * SLOT_SHARE) as usize).max(1);
+    }
+
+    /// Calls that may run at once.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Calls that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Mean time for which a call holds a slot.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        self.held
+    }
+
+    /// Takes a bid.
+    pub fn offer(&mut self, now: Instant, bid: Bid<T>) -> Offer<T> {
+        if self.running < self.limit && self.waiting.is_empty() {
+            self.running += 1;
+            return Offer::Start(bid.job);
+        }
+        let place = (bid.rank, bid.due, self.next);
+        let ahead = self.waiting.range(..place).count();
+        if self.too_late(now, ahead, &bid) {
+            return Offer::Refused(bid.job);
+        }
+        self.next += 1;
+        self.places.insert(place.2, place);
+        self.waiting.insert(place, bid);
+        Offer::Waiting(place.2)
+    }
+
+    /// Removes a waiting call, which then never starts.
+    pub fn cancel(&mut self, id: WaitingId) -> Option<T> {
+        let place = self.places.remove(&id)?;
+        self.waiting.remove(&place).map(|bid| bid.job)
+    }
+
+    /// Frees the slot of a call that held it for some time.
+    pub fn finish(&mut self, held: Duration) {
+        self.running = self.running.saturating_sub(1);
+        let mean = self.held.as_secs_f64() * (1.0 - SAMPLE_WEIGHT);
+        self.held = Duration::from_secs_f64(mean + held.as_secs_f64() * SAMPLE_WEIGHT);
+    }
+
+    /// Takes the next call that has a slot and can still be served in time.
+    ///
+    /// Calls that cannot are left for [`Lane::expire`].
+    pub fn start(&mut self, now: Instant) -> Option<T> {
+        if self.running >= self.limit {
+            return None;
+        }
+        let place = self
+            .waiting
+            .iter()
+            .find(|(_, bid)| now + bid.expected / 2 < bid.due)
+            .map(|(place, _)| *place)?;
+        self.running += 1;
+        self.places.remove(&place.2);
+        self.waiting.remove(&place).map(|bid| bid.job)
+    }
+
+    /// Removes the waiting calls that can no longer be served in time.
+    pub fn expire(&mut self, now: Instant) -> Vec<T> {
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for (place, bid) in &self.waiting {
+            if self.too_late(now, ahead, bid) {
+                late.push(place.2);
+            } else {
+                ahead += 1;
+            }
+        }
+        late.into_iter().filter_map(|id| self.cancel(id)).collect()
+    }
+
+    /// Removes all waiting calls.
+    pub fn clear(&mut self) -> Vec<T> {
+        self.places.clear();
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_values().map(|bid| bid.job).collect()
+    }
+
+    /// Expected wait of a call with `ahead` calls before it.
+    fn wait(&self, ahead: usize) -> Duration {
+        let busy = (self.running + ahead + 1).saturating_sub(self.limit);
+        self.held.mul_f64(busy as f64 / self.limit as f64)
+    }
+
+    fn too_late(&self, now: Instant, ahead: usize, bid: &Bid<T>) -> bool {
+        // Half of the expected time: work varies, and a refused call has no chance at all.
+        now + self.wait(ahead) + bid.expected / 2 >= bid.due
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,167 @@
+//! Choice of the endpoint for a call.
+//!
+//! Answers uneven endpoints and stale reports: the load of an endpoint is what its gate reported
+//! last plus what this daemon has sent there since. Endpoints of the own data centre are preferred
+//! while they have room; an endpoint that failed is left out for a while, but never all of them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::id::VmId;
+use crate::traffic::RouteName;
+
+#[cfg(test)]
+mod tests;
+
+/// Advantage in expected time that an endpoint of another data centre needs. Bytes between data
+/// centres are the dearest resource of the deployments.
+const FAR_PENALTY: Duration = Duration::from_millis(60);
+
+/// Time for which a failed endpoint is left out.
+const EJECTION: Duration = Duration::from_millis(800);
+
+/// Longest time for which an endpoint is left out after failures in a row.
+const MAX_EJECTION: Duration = Duration::from_secs(4);
+
+/// Weight of a new sample in the mean time of a route at an endpoint.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Age at which half of the load reported by a gate is believed to be gone.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+
+/// Load of an endpoint as its gate states it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls that run or wait.
+    pub calls: u32,
+    /// Calls that may run at once.
+    pub limit: u32,
+    /// Mean time for which a call holds a slot.
+    pub held: Duration,
+}
+
+/// What this daemon knows of one endpoint.
+#[derive(Debug, Default)]
+pub struct Target {
+    load: Load,
+    reported: Option<Instant>,
+    /// Own calls in flight at the time of the report.
+    counted: u32,
+    in_flight: u32,
+    failures: u32,
+    ejected: Option<Instant>,
+    times: HashMap<RouteName, Duration>,
+}
+
+impl Target {
+    /// Notes that a call was sent there.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes that a call sent there has ended.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes the load that the gate states.
+    pub fn report(&mut self, now: Instant, load: Load) {
+        self.load = load;
+        self.reported = Some(now);
+        self.counted = self.in_flight;
+    }
+
+    /// Takes the time that an answered call needed at the endpoint.
+    pub fn answered(&mut self, route: &RouteName, held: Duration) {
+        self.failures = 0;
+        self.ejected = None;
+        let mean = self.times.entry(RouteName::clone(route)).or_insert(held);
+        *mean = mean.mul_f64(1.0 - SAMPLE_WEIGHT) + held.mul_f64(SAMPLE_WEIGHT);
+    }
+
+    /// Notes that a call failed there or could not be sent.
+    pub fn failed(&mut self, now: Instant) {
+        let time = EJECTION * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures = self.failures.saturating_add(1);
+        self.ejected = Some(now + time.min(MAX_EJECTION));
+    }
+
+    /// Lets the endpoint be chosen again.
+    pub fn restored(&mut self) {
+        self.failures = 0;
+        self.ejected = None;
+    }
+
+    /// Whether the endpoint is left out for now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected.is_some_and(|until| now < until)
+    }
+
+    /// Calls believed to run or wait there.
+    fn calls(&self, now: Instant) -> f64 {
+        let Some(reported) = self.reported else {
+            return f64::from(self.in_flight);
+        };
+        let age = now.saturating_duration_since(reported);
+        let decay = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
+        let others = f64::from(self.load.calls.saturating_sub(self.counted));
+        others * decay + f64::from(self.in_flight)
+    }
+
+    /// Time that a call of a route is expected to take there.
+    #[must_use]
+    pub fn expected(&self, now: Instant, route: &RouteName) -> Duration {
+        let time = self.times.get(route).copied().unwrap_or(Duration::ZERO);
+        if self.load.limit == 0 {
+            return time;
+        }
+        let limit = f64::from(self.load.limit);
+        let excess = (self.calls(now) + 1.0 - limit).max(0.0);
+        time + self.load.held.mul_f64(excess / limit)
+    }
+}
+
+/// An endpoint that may take a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its VM.
+    pub vm: &'a VmId,
+    /// What is known of it; `None` when nothing was sent there yet.
+    pub target: Option<&'a Target>,
+    /// Whether it is in the data centre of this daemon.
+    pub near: bool,
+}
+
+/// Chooses the endpoint where the call is expected to be answered first.
+///
+/// `toss` is a random number that decides between equals.
+#[must_use]
+pub fn choose<'a>(
+    now: Instant,
+    route: &RouteName,
+    candidates: &[Candidate<'a>],
+    toss: usize,
+) -> Option<&'a VmId> {
+    let ejected = |candidate: &Candidate<'_>| {
+        candidate
+            .target
+            .is_some_and(|target| target.is_ejected(now))
+    };
+    let open = candidates.iter().any(|candidate| !ejected(candidate));
+    let count = candidates.len();
+    (0..count)
+        .map(|index| &candidates[(index + toss) % count])
+        .filter(|candidate| !open || !ejected(candidate))
+        .min_by_key(|candidate| {
+            let time = candidate
+                .target
+                .map_or(Duration::ZERO, |target| target.expected(now, route));
+            time + if candidate.near {
+                Duration::ZERO
+            } else {
+                FAR_PENALTY
+            }
+        })
+        .map(|candidate| candidate.vm)
+}
--- /dev/null
+++ b/crates/policy/src/placement/tests.rs
@@ -0,0 +1,95 @@
+//! Guards against calls that leave their data centre without need, pile up on one endpoint, or go to
+//! an endpoint that just failed.
+
+use std::time::{Duration, Instant};
+
+use super::{Candidate, EJECTION, Load, Target, choose};
+use crate::id::VmId;
+use crate::traffic::RouteName;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn load(calls: u32) -> Load {
+    Load {
+        calls,
+        limit: 10,
+        held: MS * 50,
+    }
+}
+
+fn pick(now: Instant, targets: &[(&VmId, &Target, bool)]) -> String {
+    let candidates: Vec<Candidate<'_>> = targets
+        .iter()
+        .map(|(vm, target, near)| Candidate {
+            vm,
+            target: Some(target),
+            near: *near,
+        })
+        .collect();
+    let route: RouteName = "r".into();
+    choose(now, &route, &candidates, 1).unwrap().to_string()
+}
+
+#[test]
+fn the_own_data_centre_is_left_only_when_it_is_full() {
+    let now = Instant::now();
+    let (near, far): (VmId, VmId) = ("near".into(), "far".into());
+    let mut here = Target::default();
+    let mut there = Target::default();
+    there.report(now, load(0));
+    here.report(now, load(9));
+    assert_eq!(
+        pick(now, &[(&near, &here, true), (&far, &there, false)]),
+        "near"
+    );
+    here.report(now, load(40));
+    assert_eq!(
+        pick(now, &[(&near, &here, true), (&far, &there, false)]),
+        "far"
+    );
+}
+
+#[test]
+fn own_calls_since_the_report_count() {
+    let now = Instant::now();
+    let (first, second): (VmId, VmId) = ("first".into(), "second".into());
+    let mut a = Target::default();
+    let mut b = Target::default();
+    a.report(now, load(9));
+    b.report(now, load(10));
+    for _ in 0..5 {
+        a.sent();
+    }
+    assert_eq!(
+        pick(now, &[(&first, &a, true), (&second, &b, true)]),
+        "second"
+    );
+}
+
+#[test]
+fn a_failed_endpoint_is_left_out_for_a_while() {
+    let now = Instant::now();
+    let (first, second): (VmId, VmId) = ("first".into(), "second".into());
+    let mut a = Target::default();
+    let mut b = Target::default();
+    b.report(now, load(40));
+    a.failed(now);
+    assert_eq!(
+        pick(now, &[(&first, &a, true), (&second, &b, true)]),
+        "second"
+    );
+    let later = now + EJECTION + MS;
+    assert_eq!(
+        pick(later, &[(&first, &a, true), (&second, &b, true)]),
+        "first"
+    );
+}
+
+#[test]
+fn something_is_chosen_although_all_failed() {
+    let now = Instant::now();
+    let only: VmId = "only".into();
+    let mut target = Target::default();
+    target.failed(now);
+    assert_eq!(pick(now, &[(&only, &target, false)]), "only");
+}
--- /dev/null
+++ b/crates/policy/src/repeat/tests.rs
@@ -0,0 +1,46 @@
+//! Guards against repeats beyond the operators' bound when all daemons repeat as much as they may.
+
+use std::time::{Duration, Instant};
+
+use super::{Bound, RepeatBudget};
+use crate::id::ServiceName;
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    slack: 48.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn all_daemons_together_stay_under_the_bound_in_any_window() {
+    for daemons in [1, 3, 13, 60, 300] {
+        for calls in [0_u32, 1, 10] {
+            let start = Instant::now();
+            let service: ServiceName = "s".into();
+            let mut budget = RepeatBudget::new(BOUND);
+            let mut taken: Vec<u64> = Vec::new();
+            for ms in (0..60_000_u64).step_by(10) {
+                let now = start + Duration::from_millis(ms);
+                if ms % 1_000 < u64::from(calls) * 10 {
+                    budget.first(now, &service, daemons);
+                }
+                while budget.take(now, &service, daemons) {
+                    taken.push(ms);
+                }
+            }
+            let most = taken
+                .iter()
+                .map(|from| {
+                    taken
+                        .iter()
+                        .filter(|at| (*from..from + 10_000).contains(at))
+                        .count()
+                })
+                .max()
+                .unwrap_or(0);
+            let sum = most * daemons;
+            let bound = f64::from(calls) * 10.0 * daemons as f64 * BOUND.ratio + BOUND.slack;
+            assert!(sum as f64 <= bound, "{daemons} {calls}: {sum} > {bound}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/traffic/tests.rs
@@ -0,0 +1,79 @@
+//! Guards against calls on the wrong route and against shares that drift from their weights.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{Configuration, Limits, Part, Repeat, Route, Splitter};
+
+fn route(prefix: &str, parts: &[(&str, f64)]) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "h.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        rank: 1,
+        attempts: 2,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| Part {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        head_bytes: 1_000,
+        body_bytes: 1_000,
+        head_time: Duration::from_secs(1),
+        idle_time: Duration::from_secs(1),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("/a/", &[("s", 1.0)]),
+        route("/a/b/", &[("t", 1.0)]),
+        route("/", &[("u", 1.0)]),
+    ];
+    let configuration = Configuration::new(1, routes, limits());
+    let name = |host: &str, path: &str| {
+        configuration
+            .route(host, path)
+            .map(|route| route.name.to_string())
+    };
+    assert_eq!(name("h.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(name("h.example", "/a/b").as_deref(), Some("/a/"));
+    assert_eq!(name("h.example", "/ab/c").as_deref(), Some("/"));
+    assert_eq!(name("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn parts_stay_within_one_call_of_their_share() {
+    let split = route("/a/", &[("s", 70.0), ("t", 20.0), ("u", 10.0)]);
+    for phase in 0..20 {
+        let mut splitter = Splitter::new(f64::from(phase) / 20.0);
+        let mut counts: HashMap<String, f64> = HashMap::new();
+        for calls in 1..=200 {
+            let service = splitter.next(&split).unwrap();
+            *counts.entry(service.to_string()).or_default() += 1.0;
+            for part in &split.parts {
+                let share = f64::from(calls) * part.weight / 100.0;
+                let count = counts.get(&*part.service).copied().unwrap_or(0.0);
+                assert!((count - share).abs() <= 1.6, "{phase} {calls} {counts:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn daemons_with_different_phases_start_with_different_parts() {
+    let split = route("/a/", &[("s", 50.0), ("t", 50.0)]);
+    let first = |phase| Splitter::new(phase).next(&split).unwrap();
+    assert_ne!(first(0.1), first(0.9));
+}
--- a/crates/sapphiredoor/src/cmd.rs
+++ b/crates/sapphiredoor/src/cmd.rs
@@ -44,6 +44,7 @@
         )
         .subcommands([
             serve(),
+            sidecar(),
             rules(),
             members(),
             status(),
@@ -71,6 +72,22 @@
         ))
 }
 
+/// The daemon beside an endpoint. Its work is in the module that `sidecar` is dispatched to.
+fn sidecar() -> Command {
+    Command::new("sidecar")
+        .about("Run the daemon beside an endpoint on the users' platform")
+        .arg(
+            file("settings")
+                .required(true)
+                .help("Settings file, JSON with comments"),
+        )
+        .arg(flag("check").help("Only check the settings"))
+        .after_help(help(
+            "sapphiredoor sidecar --settings /etc/sapphiredoor/settings.jsonc",
+            &[0, DAEMON, USAGE, MISTAKES, OUTPUT],
+        ))
+}
+
 fn rules() -> Command {
     Command::new("rules")
         .about("Check, compare and change the rules")
--- a/crates/sapphiredoor/src/lib.rs
+++ b/crates/sapphiredoor/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rules;
 pub mod serve;
 pub mod settings;
+pub mod sidecar;
 pub mod status;
 
 #[cfg(test)]
@@ -32,7 +33,7 @@
 
 /// Parses the arguments, the program's name first, and runs the subcommand.
 pub fn run<T: Into<OsString> + Clone>(args: impl IntoIterator<Item = T>) -> ExitCode {
-    ExitCode::from(execute(args, &mut io::stdout().lock(), &mut io::stderr()))
+    ExitCode::from(execute(args, &mut io::stdout(), &mut io::stderr()))
 }
 
 /// Does the work of [`run`] with the given outputs. Returns the exit code.
@@ -58,6 +59,7 @@
 fn dispatch(matches: &ArgMatches, console: &mut Console<'_>) -> Result<(), Failure> {
     match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
+        Some(("sidecar", matches)) => sidecar::run(matches, console),
         Some(("rules", matches)) => rules::run(matches, console),
         Some(("members", matches)) => members::run(matches, console),
         Some(("status", matches)) => status::run(matches, console),
--- /dev/null
+++ b/crates/sidecar/src/control.rs
@@ -0,0 +1,130 @@
+//! Small servers: announcements of the endpoint, readiness, metrics.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::announcement::{self, ACKNOWLEDGEMENT, Notice};
+use adapter::answer::{self, Reply};
+use bytes::BytesMut;
+use log::{info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use transport::http1::{Collector, Message, Side};
+
+use crate::daemon::Daemon;
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Bytes of a head and of a body.
+const MAX_BYTES: usize = 64 << 10;
+
+/// Time for which a connection may be idle.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Pause after a failed accept, for example when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a listener is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Purpose {
+    /// Announcements of the endpoint.
+    Control,
+    /// Readiness.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+/// Accepts connections as long as the daemon runs.
+pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener, purpose: Purpose) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let owner = Rc::clone(&daemon);
+                tokio::task::spawn_local(async move { serve(&owner, stream, purpose).await });
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", listener:? = purpose, error:% = error; "");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(daemon: &Rc<Daemon>, mut stream: TcpStream, purpose: Purpose) {
+    let mut collector = Collector::new(Side::Requests, MAX_BYTES, MAX_BYTES);
+    let mut buffer = BytesMut::new();
+    loop {
+        let (last, (status, body)) = match collector.take(&mut buffer) {
+            Ok(Some(message)) => (message.head.close, react(daemon, purpose, &message)),
+            Ok(None) => {
+                let read = timeout(IDLE_TIME, stream.read_buf(&mut buffer)).await;
+                if !matches!(read, Ok(Ok(count)) if count > 0) {
+                    return;
+                }
+                continue;
+            }
+            Err(_) => (true, (400, Vec::new())),
+        };
+        let reply = Reply {
+            status,
+            id: None,
+            fields: b"Content-Type: application/json\r\n",
+            length: body.len(),
+            retry_after: None,
+            close: last,
+        };
+        let mut bytes = Vec::with_capacity(256 + body.len());
+        answer::encode(&reply, &mut bytes);
+        bytes.extend_from_slice(&body);
+        if stream.write_all(&bytes).await.is_err() || last {
+            return;
+        }
+    }
+}
+
+fn react(daemon: &Rc<Daemon>, purpose: Purpose, message: &Message) -> (u16, Vec<u8>) {
+    match purpose {
+        Purpose::Ready if message.head.target() == adapter::READY_PATH => {
+            (if daemon.is_ready() { 200 } else { 503 }, Vec::new())
+        }
+        Purpose::Metrics if message.head.target() == METRICS_PATH => {
+            daemon.measure();
+            (200, daemon.meter.text())
+        }
+        Purpose::Control => match announcement::decode(message) {
+            Ok(notice) => {
+                take(daemon, notice);
+                (200, ACKNOWLEDGEMENT.to_vec())
+            }
+            Err(error) => {
+                if daemon
+                    .journal
+                    .allows(daemon.clock.now(), "announcement_refused")
+                {
+                    warn!(event = "announcement_refused", error:% = error; "nothing changes");
+                }
+                (400, Vec::new())
+            }
+        },
+        Purpose::Ready | Purpose::Metrics => (404, Vec::new()),
+    }
+}
+
+fn take(daemon: &Rc<Daemon>, notice: Notice) {
+    let changed = match notice {
+        Notice::Heartbeat(announcement) => daemon.gate.announced(daemon, announcement),
+        Notice::Departure { instance, born } => {
+            let known = daemon.gate.departed(daemon, &instance, born);
+            if !known {
+                info!(event = "departure_unknown", instance = &*instance; "");
+            }
+            known
+        }
+    };
+    if changed {
+        daemon.endpoint_changed();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/daemon.rs
@@ -0,0 +1,261 @@
+//! State that the parts of the daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use adapter::store::Store;
+use bytes::Bytes;
+use log::{info, warn};
+use policy::clock::Clock;
+use policy::fleet::{Announcement, Fleet, VmEntry};
+use policy::id::{DataCentreName, Revision, ServiceName, VmId};
+use policy::repeat::RepeatBudget;
+use policy::traffic::{Configuration, Splitter};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+
+use crate::frame::Frame;
+use crate::gate::Gate;
+use crate::inbound::Watchers;
+use crate::journal::Journal;
+use crate::meter::Meter;
+use crate::peer::{Peer, Peers};
+use crate::settings::Settings;
+
+/// A configuration as the operators wrote it.
+#[derive(Debug)]
+struct Adopted {
+    configuration: Rc<Configuration>,
+    bytes: Bytes,
+    revision: Revision,
+}
+
+/// The daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Settings in force.
+    pub settings: RefCell<Settings>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// VMs and endpoints.
+    pub fleet: RefCell<Fleet>,
+    /// Connections to other VMs.
+    pub peers: Peers,
+    /// Connections from other VMs.
+    pub watchers: Watchers,
+    /// Gate of the endpoint beside this daemon.
+    pub gate: Gate,
+    /// Shares of the parts of routes.
+    pub splitter: RefCell<Splitter>,
+    /// Budget for sending calls once more.
+    pub budget: RefCell<RepeatBudget>,
+    /// Random choices.
+    pub rng: RefCell<SmallRng>,
+    /// Metrics.
+    pub meter: Meter,
+    /// Bounds of the logs.
+    pub journal: Journal,
+    /// Client of the platform's store.
+    pub store: Store,
+    /// Wakes the task that keeps the entry of this VM.
+    pub entry_changed: Notify,
+    adopted: RefCell<Option<Adopted>>,
+    stopping: Cell<Option<Instant>>,
+    /// Calls that arrived here and are not answered.
+    pub open: Cell<usize>,
+    lost_lines: Arc<AtomicU64>,
+}
+
+impl Daemon {
+    /// A daemon that has not started anything.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        clock: Arc<dyn Clock>,
+        store: Store,
+        lost_lines: Arc<AtomicU64>,
+    ) -> Rc<Self> {
+        let mut rng = SmallRng::from_os_rng();
+        Rc::new(Self {
+            vm: VmId::clone(&settings.vm),
+            data_centre: DataCentreName::clone(&settings.data_centre),
+            clock,
+            fleet: RefCell::new(Fleet::new()),
+            peers: Peers::default(),
+            watchers: Watchers::default(),
+            gate: Gate::new(settings.endpoint.address),
+            splitter: RefCell::new(Splitter::new(rng.random())),
+            budget: RefCell::new(RepeatBudget::new(settings.bounds.repeats())),
+            rng: RefCell::new(rng),
+            meter: Meter::new(),
+            journal: Journal::default(),
+            store,
+            entry_changed: Notify::new(),
+            adopted: RefCell::new(None),
+            stopping: Cell::new(None),
+            open: Cell::new(0),
+            settings: RefCell::new(settings),
+            lost_lines,
+        })
+    }
+
+    /// Service of the endpoint on this VM.
+    #[must_use]
+    pub fn service(&self) -> ServiceName {
+        ServiceName::clone(&self.settings.borrow().endpoint.service)
+    }
+
+    /// Configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        let adopted = self.adopted.borrow();
+        adopted
+            .as_ref()
+            .map(|adopted| Rc::clone(&adopted.configuration))
+    }
+
+    /// Adopts a configuration if its version is higher than the one in force.
+    pub fn adopt(&self, bytes: Bytes, revision: Revision) {
+        let configuration = match adapter::configuration::decode(&bytes) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                warn!(event = "configuration_refused", revision = revision, error:% = error; "the one in force stays");
+                return;
+            }
+        };
+        let mut adopted = self.adopted.borrow_mut();
+        let current = adopted
+            .as_ref()
+            .map(|adopted| adopted.configuration.version);
+        let version = configuration.version;
+        if current.is_some_and(|current| current >= version) {
+            return;
+        }
+        info!(event = "configuration", version = version, revision = revision, before = current.unwrap_or(0), routes = configuration.routes().count(); "");
+        *adopted = Some(Adopted {
+            configuration: Rc::new(configuration),
+            bytes,
+            revision,
+        });
+    }
+
+    /// Takes what another daemon knows.
+    pub fn adopt_state(&self, entries: &[(VmEntry, Revision)], revision: Revision, bytes: &Bytes) {
+        if !bytes.is_empty() {
+            self.adopt(bytes.clone(), revision);
+        }
+        let mut fleet = self.fleet.borrow_mut();
+        for (entry, revision) in entries {
+            fleet.written(entry.clone(), *revision);
+        }
+    }
+
+    /// What this daemon knows, for another one.
+    #[must_use]
+    pub fn state_frame(&self) -> (Frame, Bytes) {
+        let fleet = self.fleet.borrow();
+        let entries = fleet
+            .entries()
+            .map(|(entry, revision)| (entry.clone(), revision))
+            .collect();
+        let adopted = self.adopted.borrow();
+        let (bytes, revision) = adopted.as_ref().map_or_else(
+            || (Bytes::new(), 0),
+            |adopted| (adopted.bytes.clone(), adopted.revision),
+        );
+        (Frame::State { entries, revision }, bytes)
+    }
+
+    /// State of the endpoint beside this daemon, for other daemons.
+    #[must_use]
+    pub fn endpoint_frame(&self) -> Frame {
+        Frame::Endpoint {
+            announcement: self.gate.announcement(),
+            stopping: self.is_stopping(),
+        }
+    }
+
+    /// Entry of this VM, when its endpoint is known.
+    #[must_use]
+    pub fn entry(&self) -> Option<VmEntry> {
+        let endpoint = self.gate.announcement()?;
+        Some(VmEntry {
+            vm: VmId::clone(&self.vm),
+            peer: self.settings.borrow().listen.peers,
+            data_centre: DataCentreName::clone(&self.data_centre),
+            endpoint,
+        })
+    }
+
+    /// Spreads a change of the endpoint beside this daemon.
+    pub fn endpoint_changed(&self) {
+        if let Some(entry) = self.entry() {
+            let mut fleet = self.fleet.borrow_mut();
+            let known = fleet.entries().find(|(known, _)| known.vm == self.vm);
+            let revision = known.map_or(0, |(_, revision)| revision);
+            fleet.written(entry, revision);
+        }
+        self.watchers.notify(&self.endpoint_frame());
+        self.entry_changed.notify_one();
+    }
+
+    /// Takes the word of another gate on its endpoint.
+    pub fn peer_stated(&self, peer: &Peer, announcement: Option<Announcement>, stopping: bool) {
+        let now = self.clock.now();
+        if stopping || announcement.is_none() {
+            peer.target.borrow_mut().failed(now);
+        } else {
+            peer.target.borrow_mut().restored();
+        }
+        if let Some(announcement) = announcement {
+            let state = announcement.state;
+            if self.fleet.borrow_mut().stated(&peer.vm, announcement) {
+                info!(event = "peer_endpoint", vm = &*peer.vm, state:? = state, stopping = stopping; "");
+            }
+        }
+    }
+
+    /// Whether clients may send work here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.adopted.borrow().is_some() && !self.fleet.borrow().is_empty()
+    }
+
+    /// Whether the daemon is about to end.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Begins the end: other daemons choose other gates from now on.
+    pub fn stop(&self) {
+        self.stopping.set(Some(self.clock.now()));
+        self.watchers.notify(&self.endpoint_frame());
+    }
+
+    /// Calls of clients and of the endpoint that are not answered, and calls at the gate.
+    #[must_use]
+    pub fn open_calls(&self) -> usize {
+        self.open.get() + self.gate.calls()
+    }
+
+    /// Brings the gauges up to date.
+    pub fn measure(&self) {
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.meter.store_calls.set(gauge(self.store.calls()));
+        self.meter.vms.set(gauge(self.fleet.borrow().len() as u64));
+        let version = self.configuration().map_or(0, |adopted| adopted.version);
+        self.meter.version.set(gauge(version));
+        self.meter
+            .lost_lines
+            .set(gauge(self.lost_lines.load(Ordering::Relaxed)));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/discovery.rs
@@ -0,0 +1,422 @@
+//! What the daemon reads from and writes to the platform's store.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use adapter::store::{Commit, Event, LeaseId, StoreError, Write};
+use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
+use bytes::Bytes;
+use log::{info, warn};
+use policy::fleet::{State, VmEntry};
+use policy::id::{Revision, VmId};
+use rand::Rng;
+use tokio::sync::Notify;
+
+use crate::daemon::Daemon;
+use crate::peer;
+
+/// Prefix of the entries of VMs.
+const VM_PREFIX: &str = "sapphiredoor/vm/";
+
+/// Time for which one watch waits. A waiting watch is one call, and the probes of its connection
+/// notice earlier when it is silent.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after a failed call, before a random part of as much again.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Life of the lease without renewal: longer than the pauses and freezes that a VM survives.
+const LEASE_TIME: Duration = Duration::from_secs(8);
+
+/// Time between renewals: three may be lost.
+const RENEW_EVERY: Duration = Duration::from_secs(2);
+
+/// Time between looks at entries that have disappeared.
+const EXPIRY_CHECK: Duration = Duration::from_millis(500);
+
+/// Time without the store after which other daemons are asked for the configuration.
+const ASK_AFTER: Duration = Duration::from_millis(700);
+
+/// Time between questions to other daemons while the store is away.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+
+/// What the tasks of this module share.
+#[derive(Debug, Default)]
+pub struct Discovery {
+    /// Since when the watch of the configuration fails.
+    away: Cell<Option<Instant>>,
+    /// Revision of the own entry; `None` when it must be read.
+    revision: Cell<Option<Revision>>,
+    /// Whether the own entry in the store is up to date.
+    current: Cell<bool>,
+    listed: Cell<bool>,
+    wake: Notify,
+}
+
+fn pause(daemon: &Daemon) -> Duration {
+    FAILURE_PAUSE.mul_f64(1.0 + daemon.rng.borrow_mut().random::<f64>())
+}
+
+impl Discovery {
+    fn failed(&self, daemon: &Daemon, task: &str, error: &StoreError) {
+        if self.away.get().is_none() {
+            self.away.set(Some(daemon.clock.now()));
+            warn!(event = "store_lost", task = task, error:% = error; "what is known stays in force");
+        } else if daemon.journal.allows(daemon.clock.now(), "store_failed") {
+            info!(event = "store_failed", task = task, error:% = error; "");
+        }
+    }
+
+    fn answered(&self, daemon: &Daemon) {
+        if let Some(since) = self.away.take() {
+            let away = daemon.clock.now().saturating_duration_since(since);
+            info!(event = "store_regained", after_ms = away.as_millis() as u64; "");
+        }
+    }
+
+    /// Follows the operators' configuration as long as the daemon runs.
+    pub async fn follow_configuration(self: Rc<Self>, daemon: Rc<Daemon>) {
+        let mut revision = None;
+        loop {
+            let result = match revision {
+                None => self.read_configuration(&daemon).await,
+                Some(after) => self.watch_configuration(&daemon, after).await,
+            };
+            match result {
+                Ok(next) => {
+                    self.answered(&daemon);
+                    revision = Some(next);
+                }
+                Err(StoreError::Compacted) => revision = None,
+                Err(error) => {
+                    self.failed(&daemon, "configuration", &error);
+                    tokio::time::sleep(pause(&daemon)).await;
+                }
+            }
+        }
+    }
+
+    async fn read_configuration(&self, daemon: &Daemon) -> Result<Revision, StoreError> {
+        let listing = daemon.store.list(CONFIGURATION_PREFIX).await?;
+        for item in listing.items {
+            if item.key == CONFIGURATION_KEY {
+                daemon.adopt(Bytes::from(item.value), item.revision);
+            }
+        }
+        Ok(listing.revision)
+    }
+
+    async fn watch_configuration(
+        &self,
+        daemon: &Daemon,
+        after: Revision,
+    ) -> Result<Revision, StoreError> {
+        let changes = daemon
+            .store
+            .watch(CONFIGURATION_PREFIX, after, WATCH_WAIT)
+            .await?;
+        for event in changes.events {
+            match event {
+                Event::Written(item) if item.key == CONFIGURATION_KEY => {
+                    daemon.adopt(Bytes::from(item.value), item.revision);
+                }
+                Event::Written(_) | Event::Removed { .. } => {}
+            }
+        }
+        Ok(changes.revision.max(after))
+    }
+
+    /// Follows the entries of VMs as long as the daemon runs.
+    pub async fn follow_fleet(self: Rc<Self>, daemon: Rc<Daemon>) {
+        let mut revision = None;
+        loop {
+            let result = match revision {
+                None => self.read_fleet(&daemon).await,
+                Some(after) => self.watch_fleet(&daemon, after).await,
+            };
+            match result {
+                Ok(next) => {
+                    self.answered(&daemon);
+                    revision = Some(next);
+                }
+                Err(StoreError::Compacted) => revision = None,
+                Err(error) => {
+                    self.failed(&daemon, "fleet", &error);
+                    tokio::time::sleep(pause(&daemon)).await;
+                }
+            }
+        }
+    }
+
+    async fn read_fleet(&self, daemon: &Rc<Daemon>) -> Result<Revision, StoreError> {
+        let listing = daemon.store.list(VM_PREFIX).await?;
+        let mut vms = Vec::with_capacity(listing.items.len());
+        let mut own = 0;
+        for item in listing.items {
+            if let Some(entry) = self.take_entry(daemon, &item.key, &item.value, item.revision) {
+                if entry == daemon.vm {
+                    own = item.revision;
+                }
+                vms.push(entry);
+            }
+        }
+        daemon
+            .fleet
+            .borrow_mut()
+            .listed(daemon.clock.now(), &vms, listing.revision);
+        if own == 0 {
+            self.own_entry_lost(Some(0));
+        }
+        self.listed.set(true);
+        self.wake.notify_one();
+        Ok(listing.revision)
+    }
+
+    async fn watch_fleet(
+        &self,
+        daemon: &Rc<Daemon>,
+        after: Revision,
+    ) -> Result<Revision, StoreError> {
+        let changes = daemon.store.watch(VM_PREFIX, after, WATCH_WAIT).await?;
+        for event in changes.events {
+            match event {
+                Event::Written(item) => {
+                    self.take_entry(daemon, &item.key, &item.value, item.revision);
+                }
+                Event::Removed { key, revision } => {
+                    let Some(vm) = key.strip_prefix(VM_PREFIX) else {
+                        continue;
+                    };
+                    if *vm == *daemon.vm {
+                        info!(event = "own_entry_removed", revision = revision; "writing it again");
+                        self.own_entry_lost(Some(0));
+                    } else {
+                        let now = daemon.clock.now();
+                        daemon.fleet.borrow_mut().removed(now, vm, revision);
+                    }
+                }
+            }
+        }
+        Ok(changes.revision.max(after))
+    }
+
+    /// Takes an entry that was read; returns the name of its VM if it can be used.
+    fn take_entry(
+        &self,
+        daemon: &Rc<Daemon>,
+        key: &str,
+        value: &[u8],
+        revision: Revision,
+    ) -> Option<VmId> {
+        let vm = key.strip_prefix(VM_PREFIX)?;
+        let entry: VmEntry = match serde_json::from_slice(value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                if daemon.journal.allows(daemon.clock.now(), "entry_refused") {
+                    warn!(event = "entry_refused", vm = vm, error:% = error; "the entry is left out");
+                }
+                return None;
+            }
+        };
+        if *entry.vm != *vm {
+            return None;
+        }
+        if *vm == *daemon.vm {
+            self.take_own(daemon, &entry, revision);
+        } else {
+            daemon.fleet.borrow_mut().written(entry.clone(), revision);
+        }
+        Some(entry.vm)
+    }
+
+    /// Takes the entry of this VM: its predecessor's at the start, its own later.
+    fn take_own(&self, daemon: &Rc<Daemon>, entry: &VmEntry, revision: Revision) {
+        if self.revision.get().is_some_and(|known| revision < known) {
+            return;
+        }
+        self.revision.set(Some(revision));
+        let usable = entry.endpoint.service == daemon.service()
+            && entry.endpoint.address == daemon.settings.borrow().endpoint.address
+            && entry.endpoint.state != State::Gone;
+        if daemon.gate.announcement().is_none() && usable {
+            info!(event = "entry_taken_over", instance = &*entry.endpoint.instance, revision = revision; "");
+            daemon.gate.announced(daemon, entry.endpoint.clone());
+            self.current.set(false);
+            daemon.endpoint_changed();
+        }
+        if daemon.entry().is_some_and(|own| !same(&own, entry)) {
+            self.current.set(false);
+            self.wake.notify_one();
+        }
+    }
+
+    fn own_entry_lost(&self, revision: Option<Revision>) {
+        self.revision.set(revision);
+        self.current.set(false);
+        self.wake.notify_one();
+    }
+
+    /// Keeps the entry of this VM and its lease as long as the daemon runs.
+    pub async fn keep_entry(self: Rc<Self>, daemon: Rc<Daemon>) {
+        let mut lease: Option<LeaseId> = None;
+        let mut renewed = daemon.clock.now();
+        loop {
+            tokio::select! {
+                () = daemon.entry_changed.notified() => self.current.set(false),
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep(RENEW_EVERY) => {}
+            }
+            if !self.listed.get() || daemon.entry().is_none() {
+                continue;
+            }
+            let due = daemon.clock.now().saturating_duration_since(renewed) >= RENEW_EVERY;
+            if let Some(id) = lease.filter(|_| due) {
+                match daemon.store.renew_lease(id).await {
+                    Ok(true) => renewed = daemon.clock.now(),
+                    Ok(false) => {
+                        info!(event = "lease_ended", lease = id; "opening another one");
+                        lease = None;
+                        self.own_entry_lost(None);
+                    }
+                    Err(error) => self.failed(&daemon, "lease", &error),
+                }
+            }
+            if self.current.get() && lease.is_some() {
+                continue;
+            }
+            match self.write_entry(&daemon, &mut lease, &mut renewed).await {
+                Ok(()) => self.answered(&daemon),
+                Err(error) => {
+                    self.failed(&daemon, "entry", &error);
+                    tokio::time::sleep(pause(&daemon)).await;
+                    self.wake.notify_one();
+                }
+            }
+        }
+    }
+
+    async fn write_entry(
+        &self,
+        daemon: &Rc<Daemon>,
+        lease: &mut Option<LeaseId>,
+        renewed: &mut Instant,
+    ) -> Result<(), StoreError> {
+        let key = format!("{VM_PREFIX}{}", daemon.vm);
+        let Some(entry) = daemon.entry() else {
+            return Ok(());
+        };
+        let id = if let Some(id) = *lease {
+            id
+        } else {
+            let shortest = Duration::from_millis(daemon.settings.borrow().store.shortest_lease_ms);
+            let (id, _) = daemon.store.open_lease(LEASE_TIME.max(shortest)).await?;
+            *renewed = daemon.clock.now();
+            *lease = Some(id);
+            id
+        };
+        let expected = if let Some(revision) = self.revision.get() {
+            revision
+        } else {
+            let item = daemon.store.get(&key).await?;
+            item.map_or(0, |item| item.revision)
+        };
+        let value = serde_json::to_vec(&entry).expect("entries have a serializable form");
+        let write = Write {
+            key: &key,
+            value: &value,
+            lease: id,
+            expected,
+        };
+        // Until the answer is there the revision is unknown: the write may be done without one.
+        self.revision.set(None);
+        match daemon.store.write(&write).await? {
+            Commit::Done(revision) => {
+                self.revision.set(Some(revision));
+                let same = daemon.entry().is_some_and(|own| same(&own, &entry));
+                self.current.set(same);
+                if !same {
+                    self.wake.notify_one();
+                }
+                info!(event = "entry_written", revision = revision, state:? = entry.endpoint.state; "");
+            }
+            Commit::Conflict(revision) => {
+                self.revision.set(Some(revision));
+                self.wake.notify_one();
+            }
+            Commit::NoLease => {
+                *lease = None;
+                self.wake.notify_one();
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops VMs that are gone and asks others while the store is away, as long as the daemon runs.
+    pub async fn attend(self: Rc<Self>, daemon: Rc<Daemon>) {
+        let mut asked = daemon.clock.now();
+        loop {
+            tokio::time::sleep(EXPIRY_CHECK).await;
+            let now = daemon.clock.now();
+            // Without the store nobody can write an entry again, so nobody is gone yet.
+            if self.away.get().is_none() {
+                let lost = daemon
+                    .fleet
+                    .borrow_mut()
+                    .expire(now, |vm| daemon.peers.is_heard(now, vm));
+                for vm in lost {
+                    info!(event = "vm_gone", vm = &*vm; "");
+                    daemon.peers.remove(&vm);
+                }
+                for (vm, address) in daemon.fleet.borrow().missing() {
+                    daemon.peers.get(&vm).ping(&daemon, address);
+                }
+            }
+            let away = self
+                .away
+                .get()
+                .is_some_and(|since| now.saturating_duration_since(since) >= ASK_AFTER);
+            if away && now.saturating_duration_since(asked) >= ASK_EVERY {
+                asked = now;
+                if let Some(address) = someone(&daemon) {
+                    peer::ask_state(&daemon, address).await;
+                }
+            }
+        }
+    }
+}
+
+/// Whether two entries of a VM say the same; the sequence number of a heartbeat alone is no news.
+fn same(a: &VmEntry, b: &VmEntry) -> bool {
+    let (x, y) = (&a.endpoint, &b.endpoint);
+    a.peer == b.peer
+        && x.instance == y.instance
+        && x.born == y.born
+        && x.state == y.state
+        && x.slots == y.slots
+}
+
+/// Address of a daemon that may know more: a known one, else a seed.
+fn someone(daemon: &Daemon) -> Option<SocketAddr> {
+    let settings = daemon.settings.borrow();
+    let fleet = daemon.fleet.borrow();
+    let mut known: Vec<SocketAddr> = fleet
+        .entries()
+        .filter(|(entry, _)| entry.vm != daemon.vm)
+        .map(|(entry, _)| entry.peer)
+        .collect();
+    // Ports are the same on all VMs, and seeds are named by their control addresses.
+    let port = settings.listen.peers.port();
+    known.extend(
+        settings
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), port)),
+    );
+    if known.is_empty() {
+        return None;
+    }
+    let index = daemon.rng.borrow_mut().random_range(0..known.len());
+    Some(known[index])
+}
--- /dev/null
+++ b/crates/sidecar/src/forward.rs
@@ -0,0 +1,385 @@
+//! One call: its route, its endpoint, and what its caller gets.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use adapter::request::Request;
+use bytes::Bytes;
+use log::info;
+use policy::id::{ServiceName, VmId};
+use policy::placement::{self, Candidate};
+use policy::traffic::{Repeat, Route};
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use crate::daemon::Daemon;
+use crate::frame::{CallHead, Load, NotRun, Unknown};
+use crate::gate::{Due, Job, JobId, Outcome, Reply};
+use crate::peer::SentCall;
+
+/// Gates to which one call is offered. An offer that a gate refuses costs one round trip and no
+/// work.
+const MAX_OFFERS: u32 = 3;
+
+/// Time after the deadline in which an outcome that is on its way is still awaited.
+const OUTCOME_SLACK: Duration = Duration::from_millis(80);
+
+/// Pause that a refused caller is asked to make, before a random part of as much again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Why a caller gets no endpoint's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    Unconfigured,
+    /// No route fits.
+    NoRoute,
+    /// No endpoint of the service is known.
+    NoEndpoint,
+    /// No gate took the call; it has not run.
+    NotRun(NotRun),
+    /// It is unknown whether the call has run.
+    Unknown(Unknown),
+}
+
+impl Refusal {
+    /// Status of the answer. 503 promises that the call has not run and will not.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::Unconfigured | Self::NoEndpoint | Self::NotRun(_) => 503,
+            Self::Unknown(Unknown::TimedOut) => 504,
+            Self::Unknown(Unknown::Disconnected | Unknown::Damaged) => 502,
+        }
+    }
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Reaction {
+    /// The endpoint's answer.
+    Answer {
+        /// Status.
+        status: u16,
+        /// Lines of the endpoint's header fields.
+        fields: Vec<u8>,
+        /// Body.
+        body: Bytes,
+    },
+    /// An answer of this daemon.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// When the caller may come back.
+        retry_after: Option<Duration>,
+    },
+}
+
+enum Sent {
+    Local {
+        daemon: Rc<Daemon>,
+        job: Option<JobId>,
+        receiver: oneshot::Receiver<(Outcome, Load)>,
+        decided: bool,
+    },
+    Peer(SentCall),
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let Self::Local {
+            daemon,
+            job,
+            decided,
+            ..
+        } = self
+        else {
+            return;
+        };
+        daemon.peers.get(&daemon.vm).target.borrow_mut().ended();
+        if let (Some(job), false) = (job, *decided) {
+            daemon.gate.cancel(daemon, *job);
+        }
+    }
+}
+
+impl Sent {
+    async fn outcome(&mut self, limit: Instant) -> (Outcome, Load) {
+        let receiver = match self {
+            Self::Local { receiver, .. } => receiver,
+            Self::Peer(sent) => &mut sent.receiver,
+        };
+        let result = tokio::time::timeout_at(limit.into(), receiver).await;
+        if let Self::Local { decided, .. } = self {
+            *decided = matches!(result, Ok(Ok(_)));
+        }
+        match result {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => (Outcome::Unknown(Unknown::Disconnected), Load::default()),
+            Err(_) => (Outcome::Unknown(Unknown::TimedOut), Load::default()),
+        }
+    }
+}
+
+/// Counts a call as open until it is dropped.
+struct OpenCall<'a>(&'a Daemon);
+
+impl<'a> OpenCall<'a> {
+    fn new(daemon: &'a Daemon) -> Self {
+        daemon.open.set(daemon.open.get() + 1);
+        Self(daemon)
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Serves a request that arrived at this daemon from its own VM.
+pub async fn serve(daemon: &Rc<Daemon>, request: Request) -> Reaction {
+    let arrived = daemon.clock.now();
+    let _open = OpenCall::new(daemon);
+    let Some(adopted) = daemon.configuration() else {
+        return refuse(daemon, arrived, &request, None, Refusal::Unconfigured);
+    };
+    let Some(route) = adopted.route(&request.host, request.path()).cloned() else {
+        return refuse(daemon, arrived, &request, None, Refusal::NoRoute);
+    };
+    let patience = request
+        .patience
+        .map_or(route.timeout, |patience| patience.min(route.timeout));
+    let due = Due {
+        at: arrived + patience,
+        boot: daemon.clock.boot() + patience,
+    };
+    let service = daemon.splitter.borrow_mut().next(&route);
+    let Some(service) = service else {
+        return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
+    };
+    let daemons = daemon.fleet.borrow().len();
+    daemon.budget.borrow_mut().first(arrived, &service, daemons);
+    let call = Call {
+        daemon,
+        request: &request,
+        route: &route,
+        service,
+        due,
+        arrived,
+    };
+    match call.run().await {
+        Ok((status, fields, body)) => {
+            let time = daemon.clock.now().saturating_duration_since(arrived);
+            daemon
+                .meter
+                .answered(&route.rank.to_string(), "answered", time);
+            Reaction::Answer {
+                status,
+                fields,
+                body,
+            }
+        }
+        Err(refusal) => refuse(daemon, arrived, &request, Some(&route), refusal),
+    }
+}
+
+fn refuse(
+    daemon: &Daemon,
+    arrived: Instant,
+    request: &Request,
+    route: Option<&Arc<Route>>,
+    refusal: Refusal,
+) -> Reaction {
+    let now = daemon.clock.now();
+    let time = now.saturating_duration_since(arrived);
+    let status = refusal.status();
+    let rank = route.map_or_else(|| "none".to_owned(), |route| route.rank.to_string());
+    let outcome = status.to_string();
+    daemon.meter.answered(&rank, &outcome, time);
+    if daemon.journal.allows(now, "call_refused") {
+        let name = route.map_or("none", |route| &*route.name);
+        let version = daemon.configuration().map_or(0, |adopted| adopted.version);
+        info!(event = "call_refused", id = &*request.id, route = name, version = version, status = status, reason:? = refusal, after_ms = time.as_millis() as u64; "");
+    }
+    let retry_after = (status == 503).then(|| {
+        let spread: f64 = daemon.rng.borrow_mut().random();
+        RETRY_PAUSE.mul_f64(1.0 + spread)
+    });
+    Reaction::Refused {
+        refusal,
+        retry_after,
+    }
+}
+
+type Answer = (u16, Vec<u8>, Bytes);
+
+struct Call<'a> {
+    daemon: &'a Rc<Daemon>,
+    request: &'a Request,
+    route: &'a Arc<Route>,
+    service: ServiceName,
+    due: Due,
+    arrived: Instant,
+}
+
+impl Call<'_> {
+    /// Offers the call to gates until one answers or nothing more may be tried.
+    async fn run(&self) -> Result<Answer, Refusal> {
+        let mut refused: Vec<VmId> = Vec::new();
+        let mut arrivals = 0;
+        let mut last = Refusal::NoEndpoint;
+        for _ in 0..MAX_OFFERS {
+            let Some(vm) = self.choose(&refused) else {
+                break;
+            };
+            let Some(mut sent) = self.send(&vm, arrivals > 0) else {
+                refused.push(vm);
+                continue;
+            };
+            let (outcome, load) = sent.outcome(self.due.at + OUTCOME_SLACK).await;
+            drop(sent);
+            let now = self.daemon.clock.now();
+            self.note(now, &vm, &outcome, load);
+            match outcome {
+                Outcome::Answered(answer, body) => {
+                    return Ok((answer.status, answer.fields, body));
+                }
+                Outcome::NotRun(reason) => {
+                    // An earlier attempt may have run, so its failure stays the answer.
+                    if !matches!(last, Refusal::Unknown(_)) {
+                        last = Refusal::NotRun(reason);
+                    }
+                    if reason == NotRun::Rejected {
+                        arrivals += 1;
+                        if !self.may_repeat(now, arrivals) {
+                            break;
+                        }
+                    }
+                }
+                Outcome::Unknown(reason) => {
+                    last = Refusal::Unknown(reason);
+                    arrivals += 1;
+                    let again = self.route.repeat == Repeat::Idempotent
+                        && reason != Unknown::TimedOut
+                        && self.may_repeat(now, arrivals);
+                    if !again {
+                        break;
+                    }
+                }
+            }
+            if now >= self.due.at {
+                break;
+            }
+            refused.push(vm);
+        }
+        Err(last)
+    }
+
+    fn may_repeat(&self, now: Instant, arrivals: u32) -> bool {
+        if arrivals >= self.route.attempts {
+            return false;
+        }
+        let daemons = self.daemon.fleet.borrow().len();
+        let granted = self
+            .daemon
+            .budget
+            .borrow_mut()
+            .take(now, &self.service, daemons);
+        if granted {
+            self.daemon.meter.repeats.inc();
+        }
+        if self.daemon.journal.allows(now, "call_repeat") {
+            info!(event = "call_repeat", id = &*self.request.id, route = &*self.route.name, arrivals = arrivals, granted = granted, age_ms = now.saturating_duration_since(self.arrived).as_millis() as u64; "");
+        }
+        granted
+    }
+
+    fn choose(&self, refused: &[VmId]) -> Option<VmId> {
+        let now = self.daemon.clock.now();
+        let fleet = self.daemon.fleet.borrow();
+        let vms = fleet.ready(&self.service);
+        let peers: Vec<_> = vms
+            .iter()
+            .filter(|vm| !refused.contains(vm))
+            .map(|vm| (vm, self.daemon.peers.get(vm)))
+            .collect();
+        let targets: Vec<_> = peers.iter().map(|(_, peer)| peer.target.borrow()).collect();
+        let candidates: Vec<Candidate<'_>> = peers
+            .iter()
+            .zip(&targets)
+            .map(|((vm, _), target)| Candidate {
+                vm,
+                target: Some(target),
+                near: fleet
+                    .get(vm)
+                    .is_some_and(|entry| entry.data_centre == self.daemon.data_centre),
+            })
+            .collect();
+        let toss = self.daemon.rng.borrow_mut().random::<u32>() as usize;
+        placement::choose(now, &self.route.name, &candidates, toss).cloned()
+    }
+
+    fn send(&self, vm: &VmId, repeated: bool) -> Option<Sent> {
+        let daemon = self.daemon;
+        let fleet = daemon.fleet.borrow();
+        let entry = fleet.get(vm)?;
+        let left = self.due.left(daemon.clock.now(), daemon.clock.boot());
+        let call = CallHead {
+            id: self.request.id.clone(),
+            left_us: left.as_micros() as u64,
+            instance: entry.endpoint.instance.to_string(),
+            caller: daemon.service().to_string(),
+            route: self.route.name.to_string(),
+            rank: self.route.rank,
+            idempotent: self.route.repeat == Repeat::Idempotent,
+            repeated,
+            method: self.request.method.clone(),
+            target: self.request.target.clone(),
+            fields: self.request.fields.clone(),
+        };
+        let address = entry.peer;
+        drop(fleet);
+        if *vm != daemon.vm {
+            let peer = daemon.peers.get(vm);
+            let sent = peer.call(daemon, address, call, &self.request.body)?;
+            return Some(Sent::Peer(sent));
+        }
+        let (sender, receiver) = oneshot::channel();
+        daemon.peers.get(vm).target.borrow_mut().sent();
+        let job = Job {
+            call,
+            body: self.request.body.clone(),
+            due: self.due,
+            reply: Reply::Local(sender),
+        };
+        let job = daemon.gate.submit(daemon, job);
+        Some(Sent::Local {
+            daemon: Rc::clone(daemon),
+            job,
+            receiver,
+            decided: false,
+        })
+    }
+
+    /// Takes what an outcome tells about the endpoint.
+    fn note(&self, now: Instant, vm: &VmId, outcome: &Outcome, load: Load) {
+        let peer = self.daemon.peers.get(vm);
+        let mut target = peer.target.borrow_mut();
+        if *vm == self.daemon.vm {
+            target.report(now, load.into());
+        }
+        match outcome {
+            Outcome::Answered(answer, _) => {
+                target.answered(&self.route.name, Duration::from_micros(answer.held_us));
+            }
+            // A lost connection has been noted with the peer; a damaged answer is no reason to leave
+            // the endpoint out.
+            Outcome::NotRun(NotRun::Busy | NotRun::Late | NotRun::Cancelled)
+            | Outcome::Unknown(_) => {}
+            Outcome::NotRun(_) => target.failed(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/gate.rs
@@ -0,0 +1,544 @@
+//! The gate of the endpoint beside this daemon: all its calls pass here.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use adapter::answer::Verdict;
+use adapter::request::{self, Forward};
+use bytes::Bytes;
+use log::info;
+use policy::fleet::{Announcement, State};
+use policy::lane::{Bid, Lane, Offer, WaitingId};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+use crate::daemon::Daemon;
+use crate::endpoint::{Exchange, Outgoing, Pool};
+use crate::frame::{AnswerHead, CallHead, Frame, Load, NotRun, StreamId, Unknown};
+use crate::outbox::Outbox;
+
+/// Part of the drain bound in which calls on their way to a leaving endpoint are still taken. The
+/// rest covers the time that a started call needs to reach the endpoint.
+const ADMIT_SHARE: f64 = 0.3;
+
+/// Part of the drain bound after which no call is sent to a leaving endpoint.
+const SEND_SHARE: f64 = 0.7;
+
+/// Shortest time in which an endpoint can answer.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// Time after the deadline in which the endpoint's own answer to it is awaited, so that the
+/// connection can be kept.
+const DEADLINE_SLACK: Duration = Duration::from_millis(40);
+
+/// Time between checks of the waiting calls.
+const SWEEP: Duration = Duration::from_millis(10);
+
+/// Time after a failed connection in which calls are refused without another try.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(150);
+
+/// Weight of a new sample in the mean time of a route.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Number of a call at this gate.
+pub type JobId = u64;
+
+/// When a call must be answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Due {
+    /// By the clock that timers use.
+    pub at: Instant,
+    /// By the clock that also counts time for which the VM was suspended.
+    pub boot: Duration,
+}
+
+impl Due {
+    /// Time left by the stricter of both clocks.
+    #[must_use]
+    pub fn left(&self, now: Instant, boot: Duration) -> Duration {
+        self.at
+            .saturating_duration_since(now)
+            .min(self.boot.saturating_sub(boot))
+    }
+}
+
+/// What came of a call at a gate.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The endpoint answered.
+    Answered(AnswerHead, Bytes),
+    /// The call has not run and will not.
+    NotRun(NotRun),
+    /// It is unknown whether the call has run.
+    Unknown(Unknown),
+}
+
+/// Where the outcome goes.
+#[derive(Debug)]
+pub enum Reply {
+    /// To this daemon's own entry.
+    Local(oneshot::Sender<(Outcome, Load)>),
+    /// To another daemon.
+    Peer {
+        /// Its connection.
+        outbox: Outbox,
+        /// Number of the call there.
+        stream: StreamId,
+    },
+}
+
+impl Reply {
+    fn send(self, outcome: Outcome, load: Load) {
+        match self {
+            // The entry may have stopped waiting.
+            Self::Local(sender) => drop(sender.send((outcome, load))),
+            Self::Peer { outbox, stream } => {
+                let (frame, body) = match outcome {
+                    Outcome::Answered(answer, body) => (
+                        Frame::Answer {
+                            stream,
+                            answer,
+                            load,
+                        },
+                        body,
+                    ),
+                    Outcome::NotRun(reason) => (
+                        Frame::NotRun {
+                            stream,
+                            reason,
+                            load,
+                        },
+                        Bytes::new(),
+                    ),
+                    Outcome::Unknown(reason) => (
+                        Frame::Unknown {
+                            stream,
+                            reason,
+                            load,
+                        },
+                        Bytes::new(),
+                    ),
+                };
+                if outbox.push(&frame, &body).is_none() {
+                    outbox.close();
+                }
+            }
+        }
+    }
+}
+
+/// A call at the gate.
+#[derive(Debug)]
+pub struct Job {
+    /// The call.
+    pub call: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// When it must be answered.
+    pub due: Due,
+    /// Where its outcome goes.
+    pub reply: Reply,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Waiting(WaitingId),
+    Running(AbortHandle),
+}
+
+#[derive(Debug)]
+struct Active {
+    stage: Stage,
+    idempotent: bool,
+}
+
+/// Gate of one endpoint.
+#[derive(Debug)]
+pub struct Gate {
+    announcement: RefCell<Option<Announcement>>,
+    leaving: Cell<Option<Duration>>,
+    unreachable: Cell<Option<Instant>>,
+    lane: RefCell<Lane<(JobId, Job)>>,
+    active: RefCell<HashMap<JobId, Active>>,
+    times: RefCell<HashMap<String, Duration>>,
+    pool: Rc<Pool>,
+    next: Cell<JobId>,
+    waiting: Notify,
+}
+
+impl Gate {
+    /// A gate for the endpoint at an address, which is not known yet.
+    #[must_use]
+    pub fn new(address: std::net::SocketAddr) -> Self {
+        Self {
+            announcement: RefCell::new(None),
+            leaving: Cell::new(None),
+            unreachable: Cell::new(None),
+            lane: RefCell::new(Lane::new(1)),
+            active: RefCell::new(HashMap::new()),
+            times: RefCell::new(HashMap::new()),
+            pool: Rc::new(Pool::new(address)),
+            next: Cell::new(1),
+            waiting: Notify::new(),
+        }
+    }
+
+    /// What the endpoint said last.
+    #[must_use]
+    pub fn announcement(&self) -> Option<Announcement> {
+        self.announcement.borrow().clone()
+    }
+
+    /// Whether an instance is the one beside this daemon.
+    fn serves(&self, instance: &str) -> bool {
+        let announcement = self.announcement.borrow();
+        announcement
+            .as_ref()
+            .is_some_and(|known| *known.instance == *instance)
+    }
+
+    /// Whether a call runs or waits.
+    #[must_use]
+    pub fn is_active(&self, id: JobId) -> bool {
+        self.active.borrow().contains_key(&id)
+    }
+
+    /// Calls that run or wait.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.active.borrow().len()
+    }
+
+    /// Load of the endpoint.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let lane = self.lane.borrow();
+        Load {
+            calls: (lane.running() + lane.waiting()) as u32,
+            limit: lane.limit() as u32,
+            held_us: lane.held().as_micros() as u32,
+        }
+    }
+
+    /// Takes a call; returns its number while it is not decided.
+    pub fn submit(&self, daemon: &Rc<Daemon>, job: Job) -> Option<JobId> {
+        let now = daemon.clock.now();
+        if let Some(reason) = self.refusal(daemon, now, &job) {
+            self.refuse(daemon, job, reason);
+            return None;
+        }
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let idempotent = job.call.idempotent;
+        let expected = self
+            .times
+            .borrow()
+            .get(&job.call.route)
+            .copied()
+            .unwrap_or(LEAST_TIME);
+        let bid = Bid {
+            rank: job.call.rank,
+            due: job.due.at,
+            expected,
+            job: (id, job),
+        };
+        let offer = self.lane.borrow_mut().offer(now, bid);
+        match offer {
+            Offer::Start((id, job)) => self.start(daemon, id, job),
+            Offer::Waiting(waiting) => {
+                let active = Active {
+                    stage: Stage::Waiting(waiting),
+                    idempotent,
+                };
+                self.active.borrow_mut().insert(id, active);
+                self.waiting.notify_one();
+            }
+            Offer::Refused((_, job)) => {
+                self.refuse(daemon, job, NotRun::Busy);
+                return None;
+            }
+        }
+        Some(id)
+    }
+
+    /// Ends a call whose caller no longer waits. A running call that must not run twice goes on.
+    pub fn cancel(&self, daemon: &Rc<Daemon>, id: JobId) {
+        let mut active = self.active.borrow_mut();
+        let Some(call) = active.get(&id) else {
+            return;
+        };
+        match &call.stage {
+            Stage::Waiting(waiting) => {
+                let job = self.lane.borrow_mut().cancel(*waiting);
+                active.remove(&id);
+                drop(active);
+                if let Some((_, job)) = job {
+                    job.reply
+                        .send(Outcome::NotRun(NotRun::Cancelled), self.load());
+                }
+            }
+            Stage::Running(handle) if call.idempotent => {
+                handle.abort();
+                active.remove(&id);
+                drop(active);
+                let held = self.lane.borrow().held();
+                self.lane.borrow_mut().finish(held);
+                self.fill(daemon);
+            }
+            Stage::Running(_) => {}
+        }
+    }
+
+    /// Takes a heartbeat; returns whether it changed anything that others must know.
+    pub fn announced(&self, daemon: &Rc<Daemon>, announcement: Announcement) -> bool {
+        let mut current = self.announcement.borrow_mut();
+        let changed = match &*current {
+            None => true,
+            Some(known)
+                if known.instance == announcement.instance && known.born == announcement.born =>
+            {
+                if !announcement.replaces(known) {
+                    return false;
+                }
+                known.state != announcement.state || known.slots != announcement.slots
+            }
+            Some(known) => {
+                if !announcement.replaces(known) {
+                    info!(event = "announcement_outdated", instance = &*announcement.instance, born = announcement.born, known = &*known.instance, known_born = known.born; "");
+                    return false;
+                }
+                self.pool.clear();
+                true
+            }
+        };
+        self.unreachable.set(None);
+        let state = announcement.state;
+        self.lane.borrow_mut().set_slots(announcement.slots);
+        if changed {
+            info!(event = "endpoint", instance = &*announcement.instance, service = &*announcement.service, state:? = state, born = announcement.born, sequence = announcement.sequence, slots = announcement.slots; "");
+        }
+        *current = Some(announcement);
+        drop(current);
+        self.set_leaving(daemon, state);
+        self.fill(daemon);
+        changed
+    }
+
+    /// Takes the word that an instance ends; returns whether it is the one beside this daemon.
+    pub fn departed(&self, daemon: &Rc<Daemon>, instance: &str, born: Option<u64>) -> bool {
+        let mut current = self.announcement.borrow_mut();
+        let Some(known) = current.as_mut() else {
+            return false;
+        };
+        if &*known.instance != instance || born.is_some_and(|born| born != known.born) {
+            return false;
+        }
+        if known.state == State::Gone {
+            return false;
+        }
+        known.state = State::Gone;
+        info!(event = "endpoint", instance = instance, state:? = State::Gone; "");
+        drop(current);
+        self.set_leaving(daemon, State::Gone);
+        true
+    }
+
+    fn set_leaving(&self, daemon: &Rc<Daemon>, state: State) {
+        match state {
+            State::Ready => self.leaving.set(None),
+            State::Draining | State::Gone => {
+                if self.leaving.get().is_none() {
+                    self.leaving.set(Some(daemon.clock.boot()));
+                }
+            }
+        }
+    }
+
+    /// Whether the time in which a leaving endpoint takes calls is over.
+    fn has_left(&self, daemon: &Daemon, share: f64) -> bool {
+        let bound = daemon.settings.borrow().bounds.drain().mul_f64(share);
+        self.leaving
+            .get()
+            .is_some_and(|since| daemon.clock.boot().saturating_sub(since) >= bound)
+    }
+
+    fn refusal(&self, daemon: &Daemon, now: Instant, job: &Job) -> Option<NotRun> {
+        if !self.serves(&job.call.instance) {
+            return Some(NotRun::Unknown);
+        }
+        if self.has_left(daemon, ADMIT_SHARE) {
+            return Some(NotRun::Leaving);
+        }
+        if self
+            .unreachable
+            .get()
+            .is_some_and(|since| now.saturating_duration_since(since) < UNREACHABLE_TIME)
+        {
+            return Some(NotRun::Unreachable);
+        }
+        None
+    }
+
+    fn refuse(&self, daemon: &Daemon, job: Job, reason: NotRun) {
+        let label = format!("{reason:?}");
+        daemon.meter.refused.with_label_values(&[&label]).inc();
+        if daemon.journal.allows(daemon.clock.now(), "gate_refused") {
+            let load = self.load();
+            let left = job.due.left(daemon.clock.now(), daemon.clock.boot());
+            info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.route, reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
+        }
+        job.reply.send(Outcome::NotRun(reason), self.load());
+    }
+
+    fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
+        let idempotent = job.call.idempotent;
+        let owner = Rc::clone(daemon);
+        let pool = Rc::clone(&self.pool);
+        let task = tokio::task::spawn_local(async move {
+            let started = owner.clock.now();
+            let outcome = run(&owner, &pool, &job).await;
+            owner.gate.finish(&owner, id, job, started, outcome);
+        });
+        let active = Active {
+            stage: Stage::Running(task.abort_handle()),
+            idempotent,
+        };
+        self.active.borrow_mut().insert(id, active);
+    }
+
+    fn finish(
+        &self,
+        daemon: &Rc<Daemon>,
+        id: JobId,
+        job: Job,
+        started: Instant,
+        mut outcome: Outcome,
+    ) {
+        self.active.borrow_mut().remove(&id);
+        let now = daemon.clock.now();
+        let held = now.saturating_duration_since(started);
+        let mut lane = self.lane.borrow_mut();
+        match &mut outcome {
+            Outcome::Answered(answer, _) => {
+                answer.held_us = held.as_micros() as u64;
+                lane.finish(held);
+                let mut times = self.times.borrow_mut();
+                let mean = times.entry(job.call.route.clone()).or_insert(held);
+                *mean = mean.mul_f64(1.0 - SAMPLE_WEIGHT) + held.mul_f64(SAMPLE_WEIGHT);
+            }
+            Outcome::NotRun(_) | Outcome::Unknown(_) => {
+                let mean = lane.held();
+                lane.finish(mean);
+            }
+        }
+        drop(lane);
+        self.fill(daemon);
+        match outcome {
+            Outcome::NotRun(reason) => self.refuse(daemon, job, reason),
+            outcome => {
+                if let Outcome::Unknown(reason) = &outcome
+                    && daemon.journal.allows(now, "endpoint_failed")
+                {
+                    info!(event = "endpoint_failed", id = &*job.call.id, route = &*job.call.route, instance = &*job.call.instance, reason:? = reason, held_ms = held.as_millis() as u64; "");
+                }
+                job.reply.send(outcome, self.load());
+            }
+        }
+    }
+
+    /// Starts waiting calls while there are slots.
+    fn fill(&self, daemon: &Rc<Daemon>) {
+        loop {
+            let next = self.lane.borrow_mut().start(daemon.clock.now());
+            let Some((id, job)) = next else {
+                return;
+            };
+            self.start(daemon, id, job);
+        }
+    }
+
+    /// Refuses waiting calls that can no longer be served, as long as the daemon runs.
+    pub async fn sweep(&self, daemon: &Rc<Daemon>) {
+        loop {
+            if self.lane.borrow().waiting() == 0 {
+                self.waiting.notified().await;
+            }
+            tokio::time::sleep(SWEEP).await;
+            let (jobs, reason) = if self.has_left(daemon, ADMIT_SHARE) {
+                (self.lane.borrow_mut().clear(), NotRun::Leaving)
+            } else {
+                let now = daemon.clock.now();
+                (self.lane.borrow_mut().expire(now), NotRun::Late)
+            };
+            for (id, job) in jobs {
+                self.active.borrow_mut().remove(&id);
+                self.refuse(daemon, job, reason);
+            }
+        }
+    }
+}
+
+async fn run(daemon: &Rc<Daemon>, pool: &Pool, job: &Job) -> Outcome {
+    let outgoing = Outgoing {
+        id: &job.call.id,
+        idempotent: job.call.idempotent,
+    };
+    let build = || build(daemon, job);
+    let limit = job.due.at + DEADLINE_SLACK;
+    let exchange = pool.exchange(&*daemon.clock, &outgoing, build);
+    match tokio::time::timeout_at(limit.into(), exchange).await {
+        Err(_) => Outcome::Unknown(Unknown::TimedOut),
+        Ok(Exchange::NotSent(reason)) => {
+            if reason == NotRun::Unreachable {
+                daemon.gate.unreachable.set(Some(daemon.clock.now()));
+            }
+            Outcome::NotRun(reason)
+        }
+        Ok(Exchange::Failed(reason)) => Outcome::Unknown(reason),
+        Ok(Exchange::Answered(answer, body)) => {
+            match answer.verdict {
+                Verdict::Ran => {}
+                Verdict::NotRun => return Outcome::NotRun(NotRun::Rejected),
+                Verdict::Misdirected => return Outcome::NotRun(NotRun::Unknown),
+                Verdict::Unsigned => return Outcome::Unknown(Unknown::Damaged),
+            }
+            let head = AnswerHead {
+                status: answer.status,
+                fields: answer.fields,
+                held_us: 0,
+            };
+            Outcome::Answered(head, body)
+        }
+    }
+}
+
+/// Makes the request's bytes, if it may still be sent.
+fn build(daemon: &Rc<Daemon>, job: &Job) -> Result<Vec<u8>, NotRun> {
+    let gate = &daemon.gate;
+    if gate.has_left(daemon, SEND_SHARE) {
+        return Err(NotRun::Leaving);
+    }
+    if !gate.serves(&job.call.instance) {
+        return Err(NotRun::Unknown);
+    }
+    let left = job.due.left(daemon.clock.now(), daemon.clock.boot());
+    if left < LEAST_TIME {
+        return Err(NotRun::Late);
+    }
+    let forward = Forward {
+        id: &job.call.id,
+        method: &job.call.method,
+        target: &job.call.target,
+        fields: &job.call.fields,
+        length: job.body.len(),
+        left,
+        instance: &job.call.instance,
+        caller: &job.call.caller,
+    };
+    let mut bytes = Vec::with_capacity(512 + job.body.len());
+    request::encode(&forward, &mut bytes);
+    bytes.extend_from_slice(&job.body);
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/sidecar/src/inbound.rs
@@ -0,0 +1,174 @@
+//! Connections from other daemons: their calls to the endpoint beside this one.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use log::{info, warn};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::daemon::Daemon;
+use crate::frame::{self, Frame, PROTOCOL, StreamId};
+use crate::gate::{Due, Job, JobId, Reply};
+use crate::outbox::Outbox;
+
+/// Pause after a failed accept, for example when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Calls of one connection after which the finished ones are forgotten.
+const PURGE_AT: usize = 1_024;
+
+/// Connections of other daemons, which are told when the endpoint changes.
+#[derive(Debug, Default)]
+pub struct Watchers(RefCell<Vec<Outbox>>);
+
+impl Watchers {
+    /// Sends a frame to all daemons that are connected.
+    pub fn notify(&self, frame: &Frame) {
+        self.0.borrow_mut().retain(|outbox| {
+            if outbox.push(frame, &[]).is_none() {
+                outbox.close();
+            }
+            !outbox.is_closed()
+        });
+    }
+
+    fn add(&self, outbox: Outbox) {
+        self.0.borrow_mut().push(outbox);
+    }
+}
+
+/// Accepts connections of other daemons as long as the daemon runs.
+pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let owner = Rc::clone(&daemon);
+                tokio::task::spawn_local(async move { serve(owner, stream).await });
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", listener = "peers", error:% = error; "");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+struct Connection {
+    daemon: Rc<Daemon>,
+    outbox: Outbox,
+    jobs: RefCell<HashMap<StreamId, JobId>>,
+}
+
+async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream) {
+    if let Err(error) = transport::socket::tune(&stream) {
+        warn!(event = "socket_options_refused", error:% = error; "");
+        return;
+    }
+    let connection = Connection {
+        daemon,
+        outbox: Outbox::new(),
+        jobs: RefCell::new(HashMap::new()),
+    };
+    let (mut reader, mut writer) = stream.split();
+    let mut buffer = BytesMut::with_capacity(16 << 10);
+    let read = async {
+        while matches!(reader.read_buf(&mut buffer).await, Ok(count) if count > 0) {
+            loop {
+                match frame::decode(&mut buffer) {
+                    Ok(Some((frame, body))) => {
+                        if !connection.take(frame, body) {
+                            return;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(frame::BadFrame) => return,
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = read => {}
+        _ = connection.outbox.write_to(&mut writer) => {}
+        () = connection.outbox.ended() => {}
+    }
+    connection.end();
+}
+
+impl Connection {
+    /// Handles a frame; returns whether the connection goes on.
+    fn take(&self, frame: Frame, body: Bytes) -> bool {
+        match frame {
+            Frame::Hello { protocol, vm } => {
+                if protocol != PROTOCOL {
+                    warn!(event = "peer_protocol", vm = &*vm, found = protocol, expected = PROTOCOL; "run the same release on all VMs");
+                    return false;
+                }
+                self.outbox.push(&self.daemon.endpoint_frame(), &[]);
+                self.daemon.watchers.add(self.outbox.clone());
+            }
+            Frame::Call { stream, call } => {
+                let left = Duration::from_micros(call.left_us);
+                let due = Due {
+                    at: self.daemon.clock.now() + left,
+                    boot: self.daemon.clock.boot() + left,
+                };
+                let reply = Reply::Peer {
+                    outbox: self.outbox.clone(),
+                    stream,
+                };
+                let job = Job {
+                    call,
+                    body,
+                    due,
+                    reply,
+                };
+                if let Some(id) = self.daemon.gate.submit(&self.daemon, job) {
+                    self.remember(stream, id);
+                }
+            }
+            Frame::Cancel { stream } => {
+                let id = self.jobs.borrow_mut().remove(&stream);
+                if let Some(id) = id {
+                    self.daemon.gate.cancel(&self.daemon, id);
+                }
+            }
+            Frame::Ping => {
+                self.outbox.push(&Frame::Pong, &[]);
+            }
+            Frame::AskState => {
+                let (frame, body) = self.daemon.state_frame();
+                self.outbox.push(&frame, &body);
+            }
+            Frame::Endpoint { .. }
+            | Frame::Answer { .. }
+            | Frame::NotRun { .. }
+            | Frame::Unknown { .. }
+            | Frame::Pong
+            | Frame::State { .. } => {
+                info!(event = "peer_frame_unexpected"; "closing the connection");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn remember(&self, stream: StreamId, id: JobId) {
+        let mut jobs = self.jobs.borrow_mut();
+        if jobs.len() >= PURGE_AT {
+            jobs.retain(|_, id| self.daemon.gate.is_active(*id));
+        }
+        jobs.insert(stream, id);
+    }
+
+    /// Ends the calls of a daemon that no longer waits for them.
+    fn end(&self) {
+        self.outbox.close();
+        for (_, id) in self.jobs.take() {
+            self.daemon.gate.cancel(&self.daemon, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/meter.rs
@@ -0,0 +1,129 @@
+//! Counters and latency histograms in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency buckets, in seconds: the objectives of the deployments lie between
+/// 0.15 s and 4 s.
+const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0];
+
+/// Metrics of one daemon.
+#[derive(Debug)]
+pub struct Meter {
+    registry: Registry,
+    /// Answers to callers by rank and outcome.
+    pub calls: IntCounterVec,
+    /// Time from the arrival of a call to its answer by rank.
+    pub latency: HistogramVec,
+    /// Calls sent to an endpoint once more.
+    pub repeats: IntCounter,
+    /// Calls that the gate refused, by reason.
+    pub refused: IntCounterVec,
+    /// Calls to the store.
+    pub store_calls: IntGauge,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// VMs known.
+    pub vms: IntGauge,
+    /// Log lines that were left out because nobody read them.
+    pub lost_lines: IntGauge,
+}
+
+impl Meter {
+    /// All metrics at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two metrics have one name.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("names of metrics are valid");
+            register(&registry, counter.clone());
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("names of metrics are valid");
+            register(&registry, gauge.clone());
+            gauge
+        };
+        let options = HistogramOpts::new(
+            "sapphiredoor_call_seconds",
+            "Time from the arrival of a call to its answer",
+        )
+        .buckets(BUCKETS.to_vec());
+        let latency = HistogramVec::new(options, &["rank"]).expect("names of metrics are valid");
+        register(&registry, latency.clone());
+        let repeats = IntCounter::new(
+            "sapphiredoor_repeats_total",
+            "Calls sent to an endpoint once more",
+        )
+        .expect("names of metrics are valid");
+        register(&registry, repeats.clone());
+        Self {
+            calls: counters(
+                "sapphiredoor_calls_total",
+                "Answers to callers",
+                &["rank", "outcome"],
+            ),
+            refused: counters(
+                "sapphiredoor_gate_refusals_total",
+                "Calls that the gate refused",
+                &["reason"],
+            ),
+            store_calls: gauge("sapphiredoor_store_calls", "Calls to the store so far"),
+            version: gauge(
+                "sapphiredoor_configuration_version",
+                "Version of the configuration in force",
+            ),
+            vms: gauge("sapphiredoor_vms", "VMs known"),
+            lost_lines: gauge(
+                "sapphiredoor_lost_log_lines",
+                "Log lines left out because nobody read them",
+            ),
+            latency,
+            repeats,
+            registry,
+        }
+    }
+
+    /// Notes the answer to a caller.
+    pub fn answered(&self, rank: &str, outcome: &str, time: Duration) {
+        self.calls.with_label_values(&[rank, outcome]).inc();
+        self.latency
+            .with_label_values(&[rank])
+            .observe(time.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to a vector does not fail.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing to a vector does not fail");
+        text
+    }
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn register(registry: &Registry, metric: impl prometheus::core::Collector + 'static) {
+    registry
+        .register(Box::new(metric))
+        .expect("names of metrics are distinct");
+}
--- /dev/null
+++ b/crates/sidecar/src/run.rs
@@ -0,0 +1,167 @@
+//! Start, reload and end of the daemon.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::store::Store;
+use log::{info, warn};
+use policy::clock::{Clock, SystemClock};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::control::Purpose;
+use crate::daemon::Daemon;
+use crate::discovery::Discovery;
+use crate::settings::Settings;
+use crate::{client, control, inbound, journal};
+
+/// Time that a call to the store may take: far above its usual milliseconds, and short enough for
+/// several tries within the operators' bounds.
+const STORE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Time after SIGTERM in which clients learn that this daemon is no longer ready.
+const FAREWELL: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace time after which the daemon ends with calls still open.
+const GRACE_SHARE: f64 = 0.95;
+
+/// Time between looks whether calls are open at the end.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(3);
+
+/// Runs the daemon until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on or a signal cannot be handled.
+pub fn run(path: &Path, settings: Settings) -> std::io::Result<()> {
+    let lost_lines = journal::start();
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let store = Store::new(settings.store.address, STORE_LIMIT);
+    let daemon = Daemon::new(settings, clock, store, lost_lines);
+    LocalSet::new().block_on(&runtime, serve(daemon, path.to_owned()))
+}
+
+async fn serve(daemon: Rc<Daemon>, path: PathBuf) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let listen = daemon.settings.borrow().listen.clone();
+    // Other daemons and the endpoint come first, so that a ready daemon can serve.
+    let peers = bind(listen.peers)?;
+    let control_listener = bind(listen.control)?;
+    let calls = bind(listen.calls)?;
+    let ready = bind(listen.ready)?;
+    info!(event = "started", vm = &*daemon.vm, data_centre = &*daemon.data_centre, service = &*daemon.service(), version = env!("CARGO_PKG_VERSION"); "");
+    match bind(listen.metrics) {
+        Ok(listener) => {
+            spawn_local(control::listen(
+                Rc::clone(&daemon),
+                listener,
+                Purpose::Metrics,
+            ));
+        }
+        Err(error) => {
+            warn!(event = "metrics_unavailable", address:% = listen.metrics, error:% = error; "free the port or change listen.metrics");
+        }
+    }
+    spawn_local(inbound::listen(Rc::clone(&daemon), peers));
+    spawn_local(control::listen(
+        Rc::clone(&daemon),
+        control_listener,
+        Purpose::Control,
+    ));
+    spawn_local(control::listen(Rc::clone(&daemon), ready, Purpose::Ready));
+    spawn_local(client::listen(Rc::clone(&daemon), calls));
+    spawn_tasks(&daemon);
+    spawn_local(reload(Rc::clone(&daemon), path, hangup));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&daemon).await;
+    Ok(())
+}
+
+fn spawn_tasks(daemon: &Rc<Daemon>) {
+    let discovery = Rc::new(Discovery::default());
+    spawn_local(Rc::clone(&discovery).follow_configuration(Rc::clone(daemon)));
+    spawn_local(Rc::clone(&discovery).follow_fleet(Rc::clone(daemon)));
+    spawn_local(Rc::clone(&discovery).keep_entry(Rc::clone(daemon)));
+    spawn_local(discovery.attend(Rc::clone(daemon)));
+    let owner = Rc::clone(daemon);
+    spawn_local(async move { owner.peers.check(&owner).await });
+    let owner = Rc::clone(daemon);
+    spawn_local(async move { owner.gate.sweep(&owner).await });
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn stop(daemon: &Rc<Daemon>) {
+    let start = daemon.clock.now();
+    info!(event = "stopping", calls = daemon.open_calls(); "");
+    daemon.stop();
+    let grace = daemon.settings.borrow().bounds.grace();
+    loop {
+        tokio::time::sleep(STOP_CHECK).await;
+        let passed = daemon.clock.now().saturating_duration_since(start);
+        let idle = daemon.open_calls() == 0 && passed >= FAREWELL.min(grace / 2);
+        if idle || passed >= grace.mul_f64(GRACE_SHARE) {
+            break;
+        }
+    }
+    info!(event = "stopped", calls = daemon.open_calls(); "");
+    log::logger().flush();
+    // The writer of the log takes a batch before it sleeps.
+    tokio::time::sleep(journal::BATCH).await;
+}
+
+async fn reload(daemon: Rc<Daemon>, path: PathBuf, mut hangup: Signal) {
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(SETTINGS_CHECK) => false,
+        };
+        let new = match std::fs::read_to_string(&path) {
+            Ok(new) => new,
+            Err(error) => {
+                warn!(event = "settings_unreadable", error:% = error; "the ones in force stay");
+                continue;
+            }
+        };
+        if new == text && !signalled {
+            continue;
+        }
+        match Settings::parse(&new) {
+            Ok(settings) => {
+                info!(event = "reloaded", changed = new != text; "");
+                daemon
+                    .budget
+                    .borrow_mut()
+                    .set_bound(settings.bounds.repeats());
+                *daemon.settings.borrow_mut() = settings;
+            }
+            Err(error) => {
+                warn!(event = "settings_refused", error:% = error; "the ones in force stay");
+            }
+        }
+        text = new;
+    }
+}
--- /dev/null
+++ b/crates/transport/src/http1/tests.rs
@@ -0,0 +1,77 @@
+//! Guards against smuggled requests, bodies that end early and messages split at any byte.
+
+use bytes::BytesMut;
+
+use super::{Collector, Framing, Malformed, Message, Side};
+
+fn collect(side: Side, bytes: &[u8]) -> Result<Option<Message>, Malformed> {
+    Collector::new(side, 1_000, 1_000).take(&mut BytesMut::from(bytes))
+}
+
+#[test]
+fn a_request_is_whole_at_any_split() {
+    let bytes = b"POST /a/b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n\
+        3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\nTrailer: t\r\n\r\nGET /";
+    for split in 0..bytes.len() {
+        let mut collector = Collector::new(Side::Requests, 1_000, 1_000);
+        let mut buffer = BytesMut::from(&bytes[..split]);
+        let first = collector.take(&mut buffer).unwrap();
+        buffer.extend_from_slice(&bytes[split..]);
+        let message = match first {
+            Some(message) => message,
+            None => collector.take(&mut buffer).unwrap().unwrap(),
+        };
+        assert_eq!(message.head.method(), "POST");
+        assert_eq!(message.head.target(), "/a/b");
+        assert_eq!(&*message.body, b"abcdefg");
+        assert_eq!(&*buffer, b"GET /");
+    }
+}
+
+#[test]
+fn ambiguous_lengths_are_refused() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let bytes = format!("POST / HTTP/1.1\r\nHost: h\r\n{fields}\r\nabc");
+        let result = collect(Side::Requests, bytes.as_bytes());
+        assert_eq!(result.err(), Some(Malformed::Framing), "{fields}");
+    }
+}
+
+#[test]
+fn limits_apply_to_head_and_body() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(1_000));
+    assert_eq!(
+        collect(Side::Requests, long.as_bytes()).err(),
+        Some(Malformed::HeadTooLarge)
+    );
+    let large = b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n";
+    assert_eq!(
+        collect(Side::Requests, large).err(),
+        Some(Malformed::BodyTooLarge)
+    );
+}
+
+#[test]
+fn an_answer_without_length_ends_only_with_an_orderly_close() {
+    let mut collector = Collector::new(Side::Answers, 1_000, 1_000);
+    let mut buffer = BytesMut::from(&b"HTTP/1.1 200 OK\r\n\r\npart"[..]);
+    assert!(collector.take(&mut buffer).unwrap().is_none());
+    let message = collector.close().unwrap();
+    assert_eq!(message.head.framing, Framing::UntilClose);
+    assert_eq!(&*message.body, b"part");
+}
+
+#[test]
+fn a_short_body_is_not_completed_by_a_close() {
+    let mut collector = Collector::new(Side::Answers, 1_000, 1_000);
+    let mut buffer = BytesMut::from(&b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"[..]);
+    assert!(collector.take(&mut buffer).unwrap().is_none());
+    assert!(collector.close().is_none());
+}
