--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -86,6 +86,11 @@
         self.ejected = Some(now + time.min(MAX_EJECTION));
     }
 
+    /// Leaves the endpoint out for some time, because its gate said that it stops.
+    pub fn leaves(&mut self, now: Instant, time: Duration) {
+        self.ejected = Some(now + time);
+    }
+
     /// Lets the endpoint be chosen again.
     pub fn restored(&mut self) {
         self.failures = 0;
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -93,3 +93,23 @@
     target.failed(now);
     assert_eq!(pick(now, &[(&only, &target, false)]), "only");
 }
+
+#[test]
+fn a_stopping_gate_is_left_out_until_it_is_back() {
+    let now = Instant::now();
+    let (first, second): (VmId, VmId) = ("first".into(), "second".into());
+    let mut a = Target::default();
+    let mut b = Target::default();
+    b.report(now, load(40));
+    a.leaves(now, MS * 8_000);
+    let later = now + MS * 5_000;
+    assert_eq!(
+        pick(later, &[(&first, &a, true), (&second, &b, true)]),
+        "second"
+    );
+    a.restored();
+    assert_eq!(
+        pick(later, &[(&first, &a, true), (&second, &b, true)]),
+        "first"
+    );
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use adapter::store::Store;
 use bytes::Bytes;
@@ -26,6 +26,13 @@
 use crate::peer::{Peer, Peers};
 use crate::settings::Settings;
 
+/// Time from the end of a daemon to its next start. The entry that it then writes ends the wait.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+
+/// Part of the grace time after which a stopping daemon takes no more calls: the rest is for the
+/// calls that it has.
+const LAST_CALL_SHARE: f64 = 0.75;
+
 /// A configuration as the operators wrote it.
 #[derive(Debug)]
 struct Adopted {
@@ -210,7 +217,10 @@
     /// Takes the word of another gate on its endpoint.
     pub fn peer_stated(&self, peer: &Peer, announcement: Option<Announcement>, stopping: bool) {
         let now = self.clock.now();
-        if stopping || announcement.is_none() {
+        if stopping {
+            let grace = self.settings.borrow().bounds.grace();
+            peer.target.borrow_mut().leaves(now, grace + RESTART_TIME);
+        } else if announcement.is_none() {
             peer.target.borrow_mut().failed(now);
         } else {
             peer.target.borrow_mut().restored();
@@ -235,6 +245,27 @@
         self.stopping.get().is_some()
     }
 
+    /// Time since SIGTERM; `None` while the daemon runs on.
+    #[must_use]
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.stopping
+            .get()
+            .map(|since| now.saturating_duration_since(since))
+    }
+
+    /// Whether the end is too near to take another call.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        let last = self
+            .settings
+            .borrow()
+            .bounds
+            .grace()
+            .mul_f64(LAST_CALL_SHARE);
+        self.stopping_for().is_some_and(|time| time >= last)
+    }
+
     /// Begins the end: other daemons choose other gates from now on.
     pub fn stop(&self) {
         self.stopping.set(Some(self.clock.now()));
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -227,6 +227,8 @@
             self.take_own(daemon, &entry, revision);
         } else {
             daemon.fleet.borrow_mut().written(entry.clone(), revision);
+            // Whoever writes its entry runs, also after it was found to be stopping.
+            daemon.peers.get(&entry.vm).target.borrow_mut().restored();
         }
         Some(entry.vm)
     }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -35,6 +35,8 @@
     Unconfigured,
     /// No route fits.
     NoRoute,
+    /// This daemon is about to end.
+    Closing,
     /// No endpoint of the service is known.
     NoEndpoint,
     /// No gate took the call; it has not run.
@@ -49,7 +51,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
-            Self::Unconfigured | Self::NoEndpoint | Self::NotRun(_) => 503,
+            Self::Unconfigured | Self::Closing | Self::NoEndpoint | Self::NotRun(_) => 503,
             Self::Unknown(Unknown::TimedOut) => 504,
             Self::Unknown(Unknown::Disconnected | Unknown::Damaged) => 502,
         }
@@ -149,6 +151,9 @@
     let Some(route) = adopted.route(&request.host, request.path()).cloned() else {
         return refuse(daemon, arrived, &request, None, Refusal::NoRoute);
     };
+    if daemon.is_closing() {
+        return refuse(daemon, arrived, &request, Some(&route), Refusal::Closing);
+    }
     let patience = request
         .patience
         .map_or(route.timeout, |patience| patience.min(route.timeout));
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -19,6 +19,9 @@
 use crate::frame::{AnswerHead, CallHead, Frame, Load, NotRun, StreamId, Unknown};
 use crate::outbox::Outbox;
 
+#[cfg(test)]
+mod tests;
+
 /// Part of the drain bound in which calls on their way to a leaving endpoint are still taken. The
 /// rest covers the time that a started call needs to reach the endpoint.
 const ADMIT_SHARE: f64 = 0.3;
@@ -26,6 +29,10 @@
 /// Part of the drain bound after which no call is sent to a leaving endpoint.
 const SEND_SHARE: f64 = 0.7;
 
+/// Time after SIGTERM in which calls that were on their way are still taken. Later ones would keep
+/// the endpoint's own calls coming until the process ends.
+const STOP_SLACK: Duration = Duration::from_millis(200);
+
 /// Shortest time in which an endpoint can answer.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -368,7 +375,8 @@
         if !self.serves(&job.call.instance) {
             return Some(NotRun::Unknown);
         }
-        if self.has_left(daemon, ADMIT_SHARE) {
+        let stopping = daemon.stopping_for();
+        if self.has_left(daemon, ADMIT_SHARE) || stopping.is_some_and(|time| time >= STOP_SLACK) {
             return Some(NotRun::Leaving);
         }
         if self
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,5 +19,7 @@
 pub mod peer;
 pub mod run;
 pub mod settings;
+#[cfg(test)]
+mod testing;
 
 pub use run::run;
--- a/crates/sidecar/src/settings/tests.rs
+++ b/crates/sidecar/src/settings/tests.rs
@@ -3,26 +3,7 @@
 use expect_test::expect;
 
 use super::Settings;
-
-const GOOD: &str = r#"
-// Comments are allowed.
-{
-  "vm": "vm-1",
-  "data_centre": "madrid",
-  "endpoint": {"service": "s", "address": "10.0.0.1:80", "heartbeat_ms": 1500},
-  "listen": {
-    "calls": "10.0.0.1:1", "peers": "10.0.0.1:2", "ready": "10.0.0.1:3",
-    "control": "10.0.0.1:4", "metrics": "10.0.0.1:5"
-  },
-  "seeds": [],
-  "store": {"address": "10.0.0.9:1", "shortest_lease_ms": 1000},
-  "bounds": {
-    "drain_ms": 2000, "grace_s": 6, "repeat_ratio": 0.2, "repeat_slack": 48,
-    "repeat_window_s": 10
-  },
-  "memory_mb": 260
-}
-"#;
+use crate::testing::SETTINGS as GOOD;
 
 fn error(text: &str) -> String {
     Settings::parse(text).unwrap_err().to_string()
