Refuse new chains at their entry by the share that the services below can take

Each gate now estimates demand from admitted calls and their shares, and entries refuse the rest at once.

--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -174,6 +174,12 @@
         waiting.into_values().map(|bid| bid.job).collect()
     }
 
+    /// Expected wait of a call behind all others.
+    #[must_use]
+    pub fn next_wait(&self) -> Duration {
+        self.wait(self.waiting.len())
+    }
+
     /// Expected wait of a call with `ahead` calls before it.
     fn wait(&self, ahead: usize) -> Duration {
         let busy = (self.running + ahead + 1).saturating_sub(self.limit);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod burn;
 pub mod clock;
 mod defect;
+pub mod demand;
 pub mod fleet;
 pub mod home;
 pub mod id;
@@ -24,5 +25,6 @@
 pub mod rule;
 #[cfg(test)]
 mod testing;
+pub mod throttle;
 pub mod ticket;
 pub mod traffic;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -29,8 +29,11 @@
 /// Age at which half of the load reported by a gate is believed to be gone.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 
+/// Age up to which a share is believed. Gates repeat a share that is below one.
+const SHARE_AGE: Duration = Duration::from_millis(1_500);
+
 /// Load of an endpoint as its gate states it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     /// Calls that run or wait.
     pub calls: u32,
@@ -38,6 +41,32 @@
     pub limit: u32,
     /// Mean time for which a call holds a slot.
     pub held: Duration,
+    /// Share of the elastic work that it can take.
+    pub share: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            calls: 0,
+            limit: 0,
+            held: Duration::ZERO,
+            share: 1.0,
+        }
+    }
+}
+
+impl Load {
+    /// Calls that the endpoint can finish in a second.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        let held = self.held.as_secs_f64();
+        if held > 0.0 {
+            f64::from(self.limit) / held
+        } else {
+            0.0
+        }
+    }
 }
 
 /// What this daemon knows of one endpoint.
@@ -103,6 +132,14 @@
         self.ejected.is_some_and(|until| now < until)
     }
 
+    /// Capacity in calls per second and share, if the gate reported them a short time ago.
+    #[must_use]
+    pub fn share(&self, now: Instant) -> Option<(f64, f64)> {
+        let reported = self.reported?;
+        let fresh = now.saturating_duration_since(reported) < SHARE_AGE;
+        fresh.then(|| (self.load.capacity(), self.load.share))
+    }
+
     /// Calls believed to run or wait there.
     fn calls(&self, now: Instant) -> f64 {
         let Some(reported) = self.reported else {
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -14,6 +14,7 @@
         calls,
         limit: 10,
         held: MS * 50,
+        share: 1.0,
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/throttle.rs
@@ -0,0 +1,168 @@
+//! Refusal of new chains at their entry.
+//!
+//! Answers overload of a service that a chain reaches through others: the entry learns from
+//! answers how many calls each route makes at which service, and admits the share that the
+//! scarcest of them can take. A refused client comes back once, so a client that came back goes
+//! before a new one, and it is told to come back while its answer can still be in time.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id::ServiceName;
+use crate::traffic::{Route, RouteName};
+
+#[cfg(test)]
+mod tests;
+
+/// Calls at each service that one run led to.
+pub type Usage = Vec<(ServiceName, u32)>;
+
+/// Weight of a new run in the mean usage.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Mean calls from which a route counts as using a service.
+const USES: f64 = 0.3;
+
+/// Part of the longest patience seen under which a client counts as having come back.
+const RETURNED_BELOW: f64 = 0.97;
+
+/// Advantage of a client that came back.
+const RETURNED_BOOST: f64 = 2.0;
+
+/// Part of its remaining time for which a client honours a pause.
+const HONOURED: f64 = 1.0 / 3.0;
+
+/// Smallest part of the possible pause, so that clients come back spread out and not at once.
+const LEAST_PAUSE: f64 = 0.3;
+
+/// Shortest pause.
+const MIN_PAUSE: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Default)]
+struct RouteState {
+    usage: HashMap<ServiceName, f64>,
+    time: Duration,
+    patience: Duration,
+    credit: f64,
+}
+
+/// Decision on a new chain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Entry {
+    /// It goes on, admitted with this share.
+    Admitted(f64),
+    /// It is refused.
+    Refused,
+}
+
+/// What an entry knows of its routes.
+#[derive(Debug)]
+pub struct Throttle {
+    phase: f64,
+    routes: HashMap<RouteName, RouteState>,
+}
+
+impl Throttle {
+    /// A throttle that admits the first of several calls at a phase from 0 to 1.
+    #[must_use]
+    pub fn new(phase: f64) -> Self {
+        Self {
+            phase,
+            routes: HashMap::new(),
+        }
+    }
+
+    /// Takes what a finished run used, and the time that it took.
+    pub fn ran(&mut self, route: &RouteName, usage: &[(ServiceName, u32)], time: Duration) {
+        let state = self.state(route);
+        state.time = if state.time.is_zero() {
+            time
+        } else {
+            state.time.mul_f64(1.0 - SAMPLE_WEIGHT) + time.mul_f64(SAMPLE_WEIGHT)
+        };
+        for calls in state.usage.values_mut() {
+            *calls *= 1.0 - SAMPLE_WEIGHT;
+        }
+        for (service, calls) in usage {
+            let calls = f64::from(*calls);
+            state
+                .usage
+                .entry(ServiceName::clone(service))
+                .and_modify(|mean| *mean += calls * SAMPLE_WEIGHT)
+                .or_insert(calls);
+        }
+    }
+
+    /// Services that a route reaches through others.
+    pub fn reached(&self) -> impl Iterator<Item = &ServiceName> {
+        self.routes.values().flat_map(|state| {
+            state
+                .usage
+                .iter()
+                .filter(|(_, calls)| **calls >= USES)
+                .map(|(service, _)| service)
+        })
+    }
+
+    /// Decides on a new chain. `share_of` gives the share that a service can take.
+    pub fn decide(
+        &mut self,
+        route: &Route,
+        patience: Duration,
+        share_of: impl Fn(&ServiceName) -> f64,
+    ) -> Entry {
+        let state = self.state(&route.name);
+        let returned = patience < state.patience.mul_f64(RETURNED_BELOW);
+        state.patience = state.patience.max(patience);
+        let share = state
+            .usage
+            .iter()
+            .filter(|(_, calls)| **calls >= USES)
+            .map(|(service, _)| share_of(service))
+            .fold(1.0, f64::min);
+        if route.rank == 0 || share >= 1.0 {
+            return Entry::Admitted(1.0);
+        }
+        let share = if returned {
+            (share * RETURNED_BOOST).min(1.0)
+        } else {
+            share
+        };
+        state.credit += share;
+        if state.credit >= 1.0 {
+            state.credit -= 1.0;
+            return Entry::Admitted(share);
+        }
+        Entry::Refused
+    }
+
+    /// Pause for a refused client: within what it honours, and so that its answer can be in time.
+    ///
+    /// `toss` is a random number from 0 to 1.
+    #[must_use]
+    pub fn pause(&self, route: &Route, patience: Duration, toss: f64) -> Duration {
+        let time = self
+            .routes
+            .get(&route.name)
+            .map_or(Duration::ZERO, |state| state.time);
+        let honoured = patience.mul_f64(HONOURED);
+        let in_time = route.objective.saturating_sub(time);
+        let most = if in_time > MIN_PAUSE {
+            honoured.min(in_time)
+        } else {
+            honoured
+        };
+        most.mul_f64(LEAST_PAUSE + (1.0 - LEAST_PAUSE) * toss)
+            .max(MIN_PAUSE)
+    }
+
+    fn state(&mut self, route: &RouteName) -> &mut RouteState {
+        let phase = self.phase;
+        self.routes
+            .entry(RouteName::clone(route))
+            .or_insert_with(|| RouteState {
+                credit: phase,
+                ..RouteState::default()
+            })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/throttle/tests.rs
@@ -0,0 +1,79 @@
+//! Guards against chains that start although a service below has no room for their calls.
+
+use std::time::Duration;
+
+use super::{Entry, Throttle};
+use crate::id::ServiceName;
+use crate::traffic::{Part, Repeat, Route};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn route(name: &str, rank: u32) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: MS * 1_200,
+        objective: MS * 1_500,
+        rank,
+        attempts: 2,
+        parts: vec![Part {
+            service: "vitrina".into(),
+            weight: 1.0,
+        }],
+    }
+}
+
+fn admitted(throttle: &mut Throttle, route: &Route, patience: Duration, share: f64) -> usize {
+    (0..100)
+        .filter(|_| throttle.decide(route, patience, |_| share) != Entry::Refused)
+        .count()
+}
+
+fn learned() -> Throttle {
+    let mut throttle = Throttle::new(0.0);
+    let deep: ServiceName = "inventario".into();
+    throttle.ran(&"catalogo".into(), &[(deep, 8)], MS * 700);
+    throttle.ran(&"historial".into(), &[], MS * 500);
+    throttle
+}
+
+#[test]
+fn only_routes_that_reach_the_scarce_service_are_refused() {
+    let mut throttle = learned();
+    let patience = MS * 5_000;
+    assert_eq!(
+        admitted(&mut throttle, &route("catalogo", 1), patience, 0.4),
+        40
+    );
+    assert_eq!(
+        admitted(&mut throttle, &route("historial", 1), patience, 0.4),
+        100
+    );
+}
+
+#[test]
+fn the_most_urgent_rank_is_not_refused_at_the_entry() {
+    let mut throttle = learned();
+    let urgent = route("catalogo", 0);
+    assert_eq!(admitted(&mut throttle, &urgent, MS * 5_000, 0.1), 100);
+}
+
+#[test]
+fn a_client_that_came_back_goes_before_a_new_one() {
+    let mut throttle = learned();
+    let catalogo = route("catalogo", 1);
+    admitted(&mut throttle, &catalogo, MS * 5_000, 0.4);
+    assert_eq!(admitted(&mut throttle, &catalogo, MS * 4_500, 0.4), 80);
+}
+
+#[test]
+fn a_refused_client_is_asked_to_return_while_it_can_be_served_in_time() {
+    let throttle = learned();
+    let catalogo = route("catalogo", 1);
+    for toss in [0.0, 0.5, 1.0] {
+        let pause = throttle.pause(&catalogo, MS * 5_000, toss);
+        assert!(pause + MS * 700 <= catalogo.objective, "{pause:?}");
+    }
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -13,6 +13,7 @@
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
 use policy::repeat::RepeatBudget;
+use policy::throttle::Throttle;
 use policy::traffic::{Configuration, Splitter};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -64,6 +65,8 @@
     pub splitter: RefCell<Splitter>,
     /// Budget for sending calls once more.
     pub budget: RefCell<RepeatBudget>,
+    /// Refusal of new chains.
+    pub throttle: RefCell<Throttle>,
     /// Random choices.
     pub rng: RefCell<SmallRng>,
     /// Metrics.
@@ -76,6 +79,7 @@
     pub entry_changed: Notify,
     adopted: RefCell<Option<Adopted>>,
     stopping: Cell<Option<Instant>>,
+    closing: Cell<bool>,
     /// Calls that arrived here and are not answered.
     pub open: Cell<usize>,
     lost_lines: Arc<AtomicU64>,
@@ -94,13 +98,13 @@
         Rc::new(Self {
             vm: VmId::clone(&settings.vm),
             data_centre: DataCentreName::clone(&settings.data_centre),
-            clock,
             fleet: RefCell::new(Fleet::new()),
             peers: Peers::default(),
             watchers: Watchers::default(),
-            gate: Gate::new(settings.endpoint.address),
+            gate: Gate::new(settings.endpoint.address, clock.now()),
             splitter: RefCell::new(Splitter::new(rng.random())),
             budget: RefCell::new(RepeatBudget::new(settings.bounds.repeats())),
+            throttle: RefCell::new(Throttle::new(rng.random())),
             rng: RefCell::new(rng),
             meter: Meter::new(),
             journal: Journal::default(),
@@ -108,9 +112,11 @@
             entry_changed: Notify::new(),
             adopted: RefCell::new(None),
             stopping: Cell::new(None),
+            closing: Cell::new(false),
             open: Cell::new(0),
             settings: RefCell::new(settings),
             lost_lines,
+            clock,
         })
     }
 
@@ -165,6 +171,24 @@
         }
     }
 
+    /// Share of the elastic work that a service can take: the mean of its gates by their capacity.
+    #[must_use]
+    pub fn share_of(&self, service: &str) -> f64 {
+        let now = self.clock.now();
+        let fleet = self.fleet.borrow();
+        let mut sum = 0.0;
+        let mut total = 0.0;
+        for vm in fleet.ready(service) {
+            let peer = self.peers.get(vm);
+            let reported = peer.target.borrow().share(now);
+            if let Some((capacity, share)) = reported {
+                sum += capacity * share;
+                total += capacity;
+            }
+        }
+        if total > 0.0 { sum / total } else { 1.0 }
+    }
+
     /// What this daemon knows, for another one.
     #[must_use]
     pub fn state_frame(&self) -> (Frame, Bytes) {
@@ -263,7 +287,12 @@
             .bounds
             .grace()
             .mul_f64(LAST_CALL_SHARE);
-        self.stopping_for().is_some_and(|time| time >= last)
+        self.closing.get() || self.stopping_for().is_some_and(|time| time >= last)
+    }
+
+    /// Refuses all further calls: the process is about to end.
+    pub fn close(&self) {
+        self.closing.set(true);
     }
 
     /// Begins the end: other daemons choose other gates from now on.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::fleet::{State, VmEntry};
-use policy::id::{Revision, VmId};
+use policy::id::{Revision, ServiceName, VmId};
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -42,6 +42,9 @@
 /// Time between questions to other daemons while the store is away.
 const ASK_EVERY: Duration = Duration::from_secs(1);
 
+/// Gates of one service whose share is followed.
+const MAX_WATCHED: usize = 8;
+
 /// What the tasks of this module share.
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -375,6 +378,7 @@
                     daemon.peers.get(&vm).ping(&daemon, address);
                 }
             }
+            watch_reached(&daemon, now);
             let away = self
                 .away
                 .get()
@@ -389,6 +393,29 @@
     }
 }
 
+/// Keeps connections to gates of the services that chains from here reach, so that they tell their
+/// share.
+fn watch_reached(daemon: &Rc<Daemon>, now: Instant) {
+    let mut services: Vec<ServiceName> = daemon.throttle.borrow().reached().cloned().collect();
+    services.sort_unstable();
+    services.dedup();
+    for service in services {
+        let vms: Vec<(VmId, SocketAddr)> = {
+            let fleet = daemon.fleet.borrow();
+            let ready = fleet.ready(&service).iter().take(MAX_WATCHED);
+            ready
+                .filter_map(|vm| Some((VmId::clone(vm), fleet.get(vm)?.peer)))
+                .collect()
+        };
+        for (vm, address) in vms {
+            let peer = daemon.peers.get(&vm);
+            if vm != daemon.vm && !peer.is_connected() && !peer.target.borrow().is_ejected(now) {
+                peer.ping(daemon, address);
+            }
+        }
+    }
+}
+
 /// Whether two entries of a VM say the same; the sequence number of a heartbeat alone is no news.
 fn same(a: &VmEntry, b: &VmEntry) -> bool {
     let (x, y) = (&a.endpoint, &b.endpoint);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -9,12 +9,13 @@
 use log::info;
 use policy::id::{ServiceName, VmId};
 use policy::placement::{self, Candidate};
+use policy::throttle::{Entry, Usage};
 use policy::traffic::{Repeat, Route};
 use rand::Rng;
 use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, Load, NotRun, Unknown};
+use crate::frame::{CallHead, Load, NotRun, SHARE_UNIT, Unknown};
 use crate::gate::{Due, Job, JobId, Outcome, Reply};
 use crate::peer::SentCall;
 
@@ -25,7 +26,7 @@
 /// Time after the deadline in which an outcome that is on its way is still awaited.
 const OUTCOME_SLACK: Duration = Duration::from_millis(80);
 
-/// Pause that a refused caller is asked to make, before a random part of as much again.
+/// Pause of a caller without a route, before a random part of as much again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Why a caller gets no endpoint's answer.
@@ -35,6 +36,8 @@
     Unconfigured,
     /// No route fits.
     NoRoute,
+    /// A service below has no room for the calls that it would make.
+    Throttled,
     /// This daemon is about to end.
     Closing,
     /// No endpoint of the service is known.
@@ -51,7 +54,11 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
-            Self::Unconfigured | Self::Closing | Self::NoEndpoint | Self::NotRun(_) => 503,
+            Self::Unconfigured
+            | Self::Throttled
+            | Self::Closing
+            | Self::NoEndpoint
+            | Self::NotRun(_) => 503,
             Self::Unknown(Unknown::TimedOut) => 504,
             Self::Unknown(Unknown::Disconnected | Unknown::Damaged) => 502,
         }
@@ -154,13 +161,19 @@
     if daemon.is_closing() {
         return refuse(daemon, arrived, &request, Some(&route), Refusal::Closing);
     }
-    let patience = request
-        .patience
-        .map_or(route.timeout, |patience| patience.min(route.timeout));
+    let patience = patience_of(&request, &route).min(route.timeout);
     let due = Due {
         at: arrived + patience,
         boot: daemon.clock.boot() + patience,
     };
+    let origin = daemon.gate.origin(&request.id);
+    let share = match &origin {
+        Some(origin) => origin.share,
+        None => match admit(daemon, &route, patience_of(&request, &route)) {
+            Some(share) => share,
+            None => return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled),
+        },
+    };
     let service = daemon.splitter.borrow_mut().next(&route);
     let Some(service) = service else {
         return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
@@ -174,10 +187,25 @@
         service,
         due,
         arrived,
+        share,
+        deep: origin.is_some(),
     };
     match call.run().await {
-        Ok((status, fields, body)) => {
+        Ok(Answer {
+            status,
+            fields,
+            body,
+            usage,
+        }) => {
             let time = daemon.clock.now().saturating_duration_since(arrived);
+            match &origin {
+                Some(origin) => origin.add(&call.service, &usage),
+                None if (200..300).contains(&status) => {
+                    let mut throttle = daemon.throttle.borrow_mut();
+                    throttle.ran(&route.name, &usage, time);
+                }
+                None => {}
+            }
             daemon
                 .meter
                 .answered(&route.rank.to_string(), "answered", time);
@@ -210,8 +238,14 @@
         info!(event = "call_refused", id = &*request.id, route = name, version = version, status = status, reason:? = refusal, after_ms = time.as_millis() as u64; "");
     }
     let retry_after = (status == 503).then(|| {
-        let spread: f64 = daemon.rng.borrow_mut().random();
-        RETRY_PAUSE.mul_f64(1.0 + spread)
+        let toss: f64 = daemon.rng.borrow_mut().random();
+        route.map_or_else(
+            || RETRY_PAUSE.mul_f64(1.0 + toss),
+            |route| {
+                let patience = patience_of(request, route).saturating_sub(time);
+                daemon.throttle.borrow().pause(route, patience, toss)
+            },
+        )
     });
     Reaction::Refused {
         refusal,
@@ -219,7 +253,27 @@
     }
 }
 
-type Answer = (u16, Vec<u8>, Bytes);
+fn patience_of(request: &Request, route: &Route) -> Duration {
+    request.patience.unwrap_or(route.timeout)
+}
+
+/// Decides on a new chain: the share with which it is admitted, `None` inside for urgent work, or
+/// `None` when it is refused.
+fn admit(daemon: &Daemon, route: &Route, patience: Duration) -> Option<Option<u16>> {
+    let mut throttle = daemon.throttle.borrow_mut();
+    match throttle.decide(route, patience, |service| daemon.share_of(service)) {
+        Entry::Refused => None,
+        Entry::Admitted(_) if route.rank == 0 => Some(None),
+        Entry::Admitted(share) => Some(Some((share * SHARE_UNIT) as u16)),
+    }
+}
+
+struct Answer {
+    status: u16,
+    fields: Vec<u8>,
+    body: Bytes,
+    usage: Usage,
+}
 
 struct Call<'a> {
     daemon: &'a Rc<Daemon>,
@@ -228,6 +282,8 @@
     service: ServiceName,
     due: Due,
     arrived: Instant,
+    share: Option<u16>,
+    deep: bool,
 }
 
 impl Call<'_> {
@@ -240,7 +296,7 @@
             let Some(vm) = self.choose(&refused) else {
                 break;
             };
-            let Some(mut sent) = self.send(&vm, arrivals > 0) else {
+            let Some(mut sent) = self.send(&vm) else {
                 refused.push(vm);
                 continue;
             };
@@ -250,7 +306,12 @@
             self.note(now, &vm, &outcome, load);
             match outcome {
                 Outcome::Answered(answer, body) => {
-                    return Ok((answer.status, answer.fields, body));
+                    return Ok(Answer {
+                        status: answer.status,
+                        fields: answer.fields,
+                        body,
+                        usage: answer.usage,
+                    });
                 }
                 Outcome::NotRun(reason) => {
                     // An earlier attempt may have run, so its failure stays the answer.
@@ -327,7 +388,7 @@
         placement::choose(now, &self.route.name, &candidates, toss).cloned()
     }
 
-    fn send(&self, vm: &VmId, repeated: bool) -> Option<Sent> {
+    fn send(&self, vm: &VmId) -> Option<Sent> {
         let daemon = self.daemon;
         let fleet = daemon.fleet.borrow();
         let entry = fleet.get(vm)?;
@@ -340,7 +401,8 @@
             route: self.route.name.to_string(),
             rank: self.route.rank,
             idempotent: self.route.repeat == Repeat::Idempotent,
-            repeated,
+            share: self.share,
+            deep: self.deep,
             method: self.request.method.clone(),
             target: self.request.target.clone(),
             fields: self.request.fields.clone(),
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use policy::fleet::Announcement;
+use policy::id::ServiceName;
 use policy::placement;
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +24,9 @@
 /// Bytes that a frame may have: the largest body of a deployment and its head.
 const MAX_FRAME: usize = 80 << 20;
 
+/// Thousandths in a share of one.
+pub const SHARE_UNIT: f64 = 1_000.0;
+
 /// Number of a call on one connection.
 pub type StreamId = u32;
 
@@ -35,6 +39,8 @@
     pub limit: u32,
     /// Mean time for which a call holds a slot, in microseconds.
     pub held_us: u32,
+    /// Share of the elastic work that it can take, in thousandths.
+    pub share: u16,
 }
 
 impl From<Load> for placement::Load {
@@ -43,6 +49,7 @@
             calls: load.calls,
             limit: load.limit,
             held: Duration::from_micros(u64::from(load.held_us)),
+            share: f64::from(load.share) / SHARE_UNIT,
         }
     }
 }
@@ -64,8 +71,10 @@
     pub rank: u32,
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// Whether it was sent to an endpoint before.
-    pub repeated: bool,
+    /// Share with which its chain was admitted, in thousandths; `None` for urgent work.
+    pub share: Option<u16>,
+    /// Whether it is part of work that another call began.
+    pub deep: bool,
     /// Method.
     pub method: String,
     /// Path and query.
@@ -85,6 +94,8 @@
     pub fields: Vec<u8>,
     /// Time at the endpoint, in microseconds.
     pub held_us: u64,
+    /// Calls at other services that the run led to.
+    pub usage: Vec<(ServiceName, u32)>,
 }
 
 /// Why a call has not run and will not.
@@ -173,6 +184,8 @@
         /// Load of the endpoint.
         load: Load,
     },
+    /// Load of the gate's endpoint.
+    Load(Load),
     /// Asks for a sign of life.
     Ping,
     /// A sign of life.
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -1,7 +1,7 @@
 //! The gate of the endpoint beside this daemon: all its calls pass here.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,14 +9,17 @@
 use adapter::request::{self, Forward};
 use bytes::Bytes;
 use log::info;
+use policy::demand::{DemandMeter, Elastic};
 use policy::fleet::{Announcement, State};
+use policy::id::ServiceName;
 use policy::lane::{Bid, Lane, Offer, WaitingId};
+use policy::placement;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
 use crate::daemon::Daemon;
 use crate::endpoint::{Exchange, Outgoing, Pool};
-use crate::frame::{AnswerHead, CallHead, Frame, Load, NotRun, StreamId, Unknown};
+use crate::frame::{AnswerHead, CallHead, Frame, Load, NotRun, SHARE_UNIT, StreamId, Unknown};
 use crate::outbox::Outbox;
 
 #[cfg(test)]
@@ -49,6 +52,18 @@
 /// Weight of a new sample in the mean time of a route.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
+/// Time between looks at the demand.
+const DEMAND_CHECK: Duration = Duration::from_millis(100);
+
+/// A share of one, in thousandths.
+const FULL_SHARE: u16 = SHARE_UNIT as u16;
+
+/// Change of the share that other daemons are told of, in thousandths.
+const SHARE_STEP: u16 = 30;
+
+/// Time after which a share below one is repeated, so that others do not take it for outdated.
+const REPEAT_SHARE: Duration = Duration::from_millis(500);
+
 /// Number of a call at this gate.
 pub type JobId = u64;
 
@@ -159,6 +174,26 @@
 struct Active {
     stage: Stage,
     idempotent: bool,
+    call: String,
+}
+
+/// A running call as the origin of the endpoint's own calls.
+#[derive(Debug, Default)]
+pub struct Origin {
+    /// Share with which its chain was admitted; `None` for urgent work.
+    pub share: Option<u16>,
+    usage: RefCell<BTreeMap<ServiceName, u32>>,
+}
+
+impl Origin {
+    /// Adds an answered call to a service, and what that call led to.
+    pub fn add(&self, service: &ServiceName, usage: &[(ServiceName, u32)]) {
+        let mut own = self.usage.borrow_mut();
+        *own.entry(ServiceName::clone(service)).or_default() += 1;
+        for (service, calls) in usage {
+            *own.entry(ServiceName::clone(service)).or_default() += calls;
+        }
+    }
 }
 
 /// Gate of one endpoint.
@@ -171,6 +206,9 @@
     active: RefCell<HashMap<JobId, Active>>,
     times: RefCell<HashMap<String, Duration>>,
     pool: Rc<Pool>,
+    origins: RefCell<HashMap<String, Rc<Origin>>>,
+    demand: RefCell<DemandMeter>,
+    share: Cell<u16>,
     next: Cell<JobId>,
     waiting: Notify,
 }
@@ -178,7 +216,7 @@
 impl Gate {
     /// A gate for the endpoint at an address, which is not known yet.
     #[must_use]
-    pub fn new(address: std::net::SocketAddr) -> Self {
+    pub fn new(address: std::net::SocketAddr, now: Instant) -> Self {
         Self {
             announcement: RefCell::new(None),
             leaving: Cell::new(None),
@@ -187,6 +225,9 @@
             active: RefCell::new(HashMap::new()),
             times: RefCell::new(HashMap::new()),
             pool: Rc::new(Pool::new(address)),
+            origins: RefCell::new(HashMap::new()),
+            demand: RefCell::new(DemandMeter::new(now)),
+            share: Cell::new(FULL_SHARE),
             next: Cell::new(1),
             waiting: Notify::new(),
         }
@@ -226,12 +267,56 @@
             calls: (lane.running() + lane.waiting()) as u32,
             limit: lane.limit() as u32,
             held_us: lane.held().as_micros() as u32,
+            share: self.share.get(),
+        }
+    }
+
+    /// The running call that made a call, which the endpoint names after it.
+    ///
+    /// The name alone is no proof, but a client that forges it gains a place among calls of its own
+    /// rank and nothing else.
+    #[must_use]
+    pub fn origin(&self, id: &str) -> Option<Rc<Origin>> {
+        let (parent, _) = id.rsplit_once('.')?;
+        self.origins.borrow().get(parent).cloned()
+    }
+
+    /// Follows the demand, and tells other daemons what share of it fits, as long as the daemon runs.
+    pub async fn follow_demand(&self, daemon: &Rc<Daemon>) {
+        let mut told = (FULL_SHARE, daemon.clock.now());
+        loop {
+            tokio::time::sleep(DEMAND_CHECK).await;
+            let now = daemon.clock.now();
+            let load: placement::Load = self.load().into();
+            let mut demand = self.demand.borrow_mut();
+            demand.adjust(self.lane.borrow().next_wait(), load.held);
+            let share = demand.share(now, load.capacity());
+            drop(demand);
+            let share = (share * SHARE_UNIT) as u16;
+            self.share.set(share);
+            let news = share.abs_diff(told.0) >= SHARE_STEP;
+            let due = share < FULL_SHARE && now.saturating_duration_since(told.1) >= REPEAT_SHARE;
+            if news || due {
+                told = (share, now);
+                daemon.watchers.notify(&Frame::Load(self.load()));
+                daemon
+                    .peers
+                    .get(&daemon.vm)
+                    .target
+                    .borrow_mut()
+                    .report(now, self.load().into());
+            }
         }
     }
 
     /// Takes a call; returns its number while it is not decided.
     pub fn submit(&self, daemon: &Rc<Daemon>, job: Job) -> Option<JobId> {
         let now = daemon.clock.now();
+        let demanded = match job.call.share {
+            None => Elastic::Urgent,
+            Some(share) => Elastic::Share(f64::from(share) / SHARE_UNIT),
+        };
+        self.demand.borrow_mut().arrived(now, demanded);
         if let Some(reason) = self.refusal(daemon, now, &job) {
             self.refuse(daemon, job, reason);
             return None;
@@ -239,6 +324,7 @@
         let id = self.next.get();
         self.next.set(id + 1);
         let idempotent = job.call.idempotent;
+        let call = job.call.id.clone();
         let expected = self
             .times
             .borrow()
@@ -246,7 +332,8 @@
             .copied()
             .unwrap_or(LEAST_TIME);
         let bid = Bid {
-            rank: job.call.rank,
+            // Calls of work that is under way go before new ones of their rank.
+            rank: job.call.rank * 2 + u32::from(!job.call.deep),
             due: job.due.at,
             expected,
             job: (id, job),
@@ -258,6 +345,7 @@
                 let active = Active {
                     stage: Stage::Waiting(waiting),
                     idempotent,
+                    call,
                 };
                 self.active.borrow_mut().insert(id, active);
                 self.waiting.notify_one();
@@ -288,6 +376,7 @@
             }
             Stage::Running(handle) if call.idempotent => {
                 handle.abort();
+                self.origins.borrow_mut().remove(&call.call);
                 active.remove(&id);
                 drop(active);
                 let held = self.lane.borrow().held();
@@ -402,6 +491,14 @@
 
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
         let idempotent = job.call.idempotent;
+        let call = job.call.id.clone();
+        let origin = Origin {
+            share: job.call.share,
+            usage: RefCell::default(),
+        };
+        self.origins
+            .borrow_mut()
+            .insert(call.clone(), Rc::new(origin));
         let owner = Rc::clone(daemon);
         let pool = Rc::clone(&self.pool);
         let task = tokio::task::spawn_local(async move {
@@ -412,6 +509,7 @@
         let active = Active {
             stage: Stage::Running(task.abort_handle()),
             idempotent,
+            call,
         };
         self.active.borrow_mut().insert(id, active);
     }
@@ -425,12 +523,16 @@
         mut outcome: Outcome,
     ) {
         self.active.borrow_mut().remove(&id);
+        let origin = self.origins.borrow_mut().remove(&job.call.id);
         let now = daemon.clock.now();
         let held = now.saturating_duration_since(started);
         let mut lane = self.lane.borrow_mut();
         match &mut outcome {
             Outcome::Answered(answer, _) => {
                 answer.held_us = held.as_micros() as u64;
+                if let Some(origin) = origin {
+                    answer.usage = origin.usage.take().into_iter().collect();
+                }
                 lane.finish(held);
                 let mut times = self.times.borrow_mut();
                 let mean = times.entry(job.call.route.clone()).or_insert(held);
@@ -516,6 +618,7 @@
                 status: answer.status,
                 fields: answer.fields,
                 held_us: 0,
+                usage: Vec::new(),
             };
             Outcome::Answered(head, body)
         }
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -147,6 +147,7 @@
             | Frame::Answer { .. }
             | Frame::NotRun { .. }
             | Frame::Unknown { .. }
+            | Frame::Load(_)
             | Frame::Pong
             | Frame::State { .. } => {
                 info!(event = "peer_frame_unexpected"; "closing the connection");
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -104,6 +104,13 @@
         })
     }
 
+    /// Whether there is a connection, or one is being made.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        let link = self.link.borrow();
+        link.as_ref().is_some_and(|link| !link.outbox.is_closed())
+    }
+
     /// Sends a call; `None` when the connection takes no more.
     pub fn call(
         self: &Rc<Self>,
@@ -229,6 +236,11 @@
                 daemon.adopt_state(&entries, revision, &body);
                 return;
             }
+            Frame::Load(load) => {
+                let now = daemon.clock.now();
+                self.target.borrow_mut().report(now, load.into());
+                return;
+            }
             Frame::Pong => return,
             Frame::Hello { .. }
             | Frame::Call { .. }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -28,7 +28,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// Time after SIGTERM in which clients learn that this daemon is no longer ready.
-const FAREWELL: Duration = Duration::from_millis(2_600);
+const FAREWELL: Duration = Duration::from_millis(3_200);
 
 /// Part of the grace time after which the daemon ends with calls still open.
 const GRACE_SHARE: f64 = 0.95;
@@ -104,6 +104,8 @@
     spawn_local(async move { owner.peers.check(&owner).await });
     let owner = Rc::clone(daemon);
     spawn_local(async move { owner.gate.sweep(&owner).await });
+    let owner = Rc::clone(daemon);
+    spawn_local(async move { owner.gate.follow_demand(&owner).await });
 }
 
 fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -126,8 +128,8 @@
             break;
         }
     }
+    daemon.close();
     info!(event = "stopped", calls = daemon.open_calls(); "");
-    log::logger().flush();
     // The writer of the log takes a batch before it sleeps.
     tokio::time::sleep(journal::BATCH).await;
 }
