--- a/crates/policy/src/lane.rs
+++ b/crates/policy/src/lane.rs
@@ -20,6 +20,12 @@
 /// Weight of a new sample in the mean holding time.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
+/// Weight of a new sample in the mean needed time.
+const NEEDED_WEIGHT: f64 = 0.1;
+
+/// Mean deviations below the mean at which a call still has a fair chance.
+const NEEDED_DEVIATIONS: f64 = 0.7;
+
 /// Holding time before the first sample.
 const FIRST_GUESS: Duration = Duration::from_millis(50);
 
@@ -33,8 +39,8 @@
     pub rank: u32,
     /// When the answer must be there.
     pub due: Instant,
-    /// Time that the endpoint needs for it.
-    pub expected: Duration,
+    /// Least time in which the endpoint can be expected to answer it.
+    pub needed: Duration,
     /// The call.
     pub job: T,
 }
@@ -146,7 +152,7 @@
         let place = self
             .waiting
             .iter()
-            .find(|(_, bid)| now + bid.expected / 2 < bid.due)
+            .find(|(_, bid)| now + bid.needed < bid.due)
             .map(|(place, _)| *place)?;
         self.running += 1;
         self.places.remove(&place.2);
@@ -187,7 +193,34 @@
     }
 
     fn too_late(&self, now: Instant, ahead: usize, bid: &Bid<T>) -> bool {
-        // Half of the expected time: work varies, and a refused call has no chance at all.
-        now + self.wait(ahead) + bid.expected / 2 >= bid.due
+        now + self.wait(ahead) + bid.needed >= bid.due
+    }
+}
+
+/// Time that calls of one route need at an endpoint, learned from those that succeeded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NeededTime {
+    mean: f64,
+    deviation: f64,
+}
+
+impl NeededTime {
+    /// Takes the time of a call that succeeded.
+    pub fn succeeded(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        if self.mean == 0.0 {
+            self.mean = time;
+        }
+        self.deviation += NEEDED_WEIGHT * ((time - self.mean).abs() - self.deviation);
+        self.mean += NEEDED_WEIGHT * (time - self.mean);
+    }
+
+    /// Least time with which a call has a fair chance.
+    ///
+    /// Work of one kind varies little between calls and work of another kind varies a lot, so the
+    /// mean alone would refuse too many of the latter.
+    #[must_use]
+    pub fn least(&self) -> Duration {
+        Duration::from_secs_f64((self.mean - NEEDED_DEVIATIONS * self.deviation).max(0.0))
     }
 }
--- a/crates/policy/src/lane/tests.rs
+++ b/crates/policy/src/lane/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Bid, Lane, Offer};
+use super::{Bid, Lane, NeededTime, Offer};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -10,7 +10,7 @@
     Bid {
         rank,
         due: now + MS * due,
-        expected: MS * 10,
+        needed: MS * 5,
         job,
     }
 }
@@ -98,3 +98,24 @@
     assert_eq!((lane.running(), lane.waiting()), (11, 19));
     assert_eq!(lane.start(now), None);
 }
+
+#[test]
+fn steady_work_needs_nearly_its_mean_and_varied_work_less() {
+    let mut steady = NeededTime::default();
+    let mut varied = NeededTime::default();
+    for round in 0..200 {
+        steady.succeeded(MS * 700);
+        varied.succeeded(if round % 2 == 0 { MS * 20 } else { MS * 180 });
+    }
+    assert!(steady.least() > MS * 650, "{:?}", steady.least());
+    assert!(varied.least() < MS * 60, "{:?}", varied.least());
+}
+
+#[test]
+fn a_call_without_time_for_its_work_does_not_take_a_slot() {
+    let now = Instant::now();
+    let mut lane = busy(now);
+    let mut short = bid(now, 1, 600, "short");
+    short.needed = MS * 650;
+    assert!(matches!(lane.offer(now, short), Offer::Refused("short")));
+}
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -104,10 +104,11 @@
         })
     }
 
-    /// Decides on a new chain. `share_of` gives the share that a service can take.
+    /// Decides on a new chain that starts at a service. `share_of` gives the share that a service can take.
     pub fn decide(
         &mut self,
         route: &Route,
+        service: &ServiceName,
         patience: Duration,
         share_of: impl Fn(&ServiceName) -> f64,
     ) -> Entry {
@@ -119,7 +120,7 @@
             .iter()
             .filter(|(_, calls)| **calls >= USES)
             .map(|(service, _)| share_of(service))
-            .fold(1.0, f64::min);
+            .fold(share_of(service), f64::min);
         if route.rank == 0 || share >= 1.0 {
             return Entry::Admitted(1.0);
         }
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -27,10 +27,22 @@
 
 fn admitted(throttle: &mut Throttle, route: &Route, patience: Duration, share: f64) -> usize {
     (0..100)
-        .filter(|_| throttle.decide(route, patience, |_| share) != Entry::Refused)
+        .filter(|_| decide(throttle, route, patience, share) != Entry::Refused)
         .count()
 }
 
+/// Decides with this share at the deep service and all of the demand at any other.
+fn decide(throttle: &mut Throttle, route: &Route, patience: Duration, share: f64) -> Entry {
+    let own = &route.parts[0].service;
+    throttle.decide(route, own, patience, |service| {
+        if **service == *"inventario" {
+            share
+        } else {
+            1.0
+        }
+    })
+}
+
 fn learned() -> Throttle {
     let mut throttle = Throttle::new(0.0);
     let deep: ServiceName = "inventario".into();
@@ -77,3 +89,14 @@
         assert!(pause + MS * 700 <= catalogo.objective, "{pause:?}");
     }
 }
+
+#[test]
+fn a_route_is_refused_for_its_own_service_too() {
+    let mut throttle = Throttle::new(0.0);
+    let catalogo = route("catalogo", 1);
+    let own = &catalogo.parts[0].service;
+    let admitted = (0..100)
+        .filter(|_| throttle.decide(&catalogo, own, MS * 5_000, |_| 0.5) != Entry::Refused)
+        .count();
+    assert_eq!(admitted, 50);
+}
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -166,18 +166,18 @@
         at: arrived + patience,
         boot: daemon.clock.boot() + patience,
     };
+    let service = daemon.splitter.borrow_mut().next(&route);
+    let Some(service) = service else {
+        return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
+    };
     let origin = daemon.gate.origin(&request.id);
     let share = match &origin {
         Some(origin) => origin.share,
-        None => match admit(daemon, &route, patience_of(&request, &route)) {
+        None => match admit(daemon, &route, &service, patience_of(&request, &route)) {
             Some(share) => share,
             None => return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled),
         },
     };
-    let service = daemon.splitter.borrow_mut().next(&route);
-    let Some(service) = service else {
-        return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
-    };
     let daemons = daemon.fleet.borrow().len();
     daemon.budget.borrow_mut().first(arrived, &service, daemons);
     let call = Call {
@@ -259,9 +259,14 @@
 
 /// Decides on a new chain: the share with which it is admitted, `None` inside for urgent work, or
 /// `None` when it is refused.
-fn admit(daemon: &Daemon, route: &Route, patience: Duration) -> Option<Option<u16>> {
+fn admit(
+    daemon: &Daemon,
+    route: &Route,
+    service: &ServiceName,
+    patience: Duration,
+) -> Option<Option<u16>> {
     let mut throttle = daemon.throttle.borrow_mut();
-    match throttle.decide(route, patience, |service| daemon.share_of(service)) {
+    match throttle.decide(route, service, patience, |service| daemon.share_of(service)) {
         Entry::Refused => None,
         Entry::Admitted(_) if route.rank == 0 => Some(None),
         Entry::Admitted(share) => Some(Some((share * SHARE_UNIT) as u16)),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -12,7 +12,7 @@
 use policy::demand::{DemandMeter, Elastic};
 use policy::fleet::{Announcement, State};
 use policy::id::ServiceName;
-use policy::lane::{Bid, Lane, Offer, WaitingId};
+use policy::lane::{Bid, Lane, NeededTime, Offer, WaitingId};
 use policy::placement;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -49,9 +49,6 @@
 /// Time after a failed connection in which calls are refused without another try.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(150);
 
-/// Weight of a new sample in the mean time of a route.
-const SAMPLE_WEIGHT: f64 = 0.1;
-
 /// Time between looks at the demand.
 const DEMAND_CHECK: Duration = Duration::from_millis(100);
 
@@ -204,7 +201,7 @@
     unreachable: Cell<Option<Instant>>,
     lane: RefCell<Lane<(JobId, Job)>>,
     active: RefCell<HashMap<JobId, Active>>,
-    times: RefCell<HashMap<String, Duration>>,
+    times: RefCell<HashMap<String, NeededTime>>,
     pool: Rc<Pool>,
     origins: RefCell<HashMap<String, Rc<Origin>>>,
     demand: RefCell<DemandMeter>,
@@ -325,17 +322,16 @@
         self.next.set(id + 1);
         let idempotent = job.call.idempotent;
         let call = job.call.id.clone();
-        let expected = self
+        let needed = self
             .times
             .borrow()
             .get(&job.call.route)
-            .copied()
-            .unwrap_or(LEAST_TIME);
+            .map_or(LEAST_TIME, |times| times.least().max(LEAST_TIME));
         let bid = Bid {
             // Calls of work that is under way go before new ones of their rank.
             rank: job.call.rank * 2 + u32::from(!job.call.deep),
             due: job.due.at,
-            expected,
+            needed,
             job: (id, job),
         };
         let offer = self.lane.borrow_mut().offer(now, bid);
@@ -534,9 +530,13 @@
                     answer.usage = origin.usage.take().into_iter().collect();
                 }
                 lane.finish(held);
-                let mut times = self.times.borrow_mut();
-                let mean = times.entry(job.call.route.clone()).or_insert(held);
-                *mean = mean.mul_f64(1.0 - SAMPLE_WEIGHT) + held.mul_f64(SAMPLE_WEIGHT);
+                if (200..300).contains(&answer.status) {
+                    let mut times = self.times.borrow_mut();
+                    times
+                        .entry(job.call.route.clone())
+                        .or_default()
+                        .succeeded(held);
+                }
             }
             Outcome::NotRun(_) | Outcome::Unknown(_) => {
                 let mean = lane.held();
