--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -11,7 +11,8 @@
 use crate::header;
 
 /// Body of a refusal.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct RefusalBody {
     /// Name of the cause.
     pub error: &'static str,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -15,7 +15,8 @@
 pub const MIN_KEY_BYTES: usize = 16;
 
 /// What a daemon must be told.
-#[derive(Clone, Deserialize)]
+#[derive(Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the VM.
--- a/crates/daemon/src/local.rs
+++ b/crates/daemon/src/local.rs
@@ -29,7 +29,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Asks for tickets.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TicketRequest {
     service: String,
@@ -41,12 +42,14 @@
     1
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct TicketReply {
     tickets: Vec<String>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Problem {
     error: String,
 }
--- a/crates/endpoint/src/announce.rs
+++ b/crates/endpoint/src/announce.rs
@@ -19,7 +19,8 @@
 pub const ANNOUNCE_TTL: Duration = Duration::from_secs(5);
 
 /// The endpoint is here and takes calls.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Service that the endpoint offers.
@@ -34,7 +35,8 @@
 }
 
 /// What the endpoint says of its load. It may lag or mislead.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
     /// Used share of the slots, 0 to 1 or more.
--- a/crates/operator/src/change.rs
+++ b/crates/operator/src/change.rs
@@ -38,7 +38,8 @@
 const MAX_EDIT_ID: usize = 64;
 
 /// Who changed the rules, when and why.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// Id of the edit.
     pub edit: String,
@@ -57,7 +58,8 @@
 }
 
 /// An earlier change and what it takes to return to it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Past {
     /// Revision that the change made. Zero is the state before the first change.
     pub revision: Revision,
@@ -68,7 +70,8 @@
 }
 
 /// A piece of a text, as lines of another text or as a new line.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Patch {
     /// Number of the first line, from 0, and number of lines.
@@ -78,7 +81,8 @@
 }
 
 /// An edit that was applied, kept for longer than the history.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Mark {
     /// Id of the edit.
     pub edit: String,
@@ -87,7 +91,8 @@
 }
 
 /// The value in the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// Text of the rules file.
     pub text: String,
--- a/crates/operator/src/message.rs
+++ b/crates/operator/src/message.rs
@@ -12,14 +12,16 @@
 use serde::{Deserialize, Serialize};
 
 /// Reply of `GET /health`: the process answers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct HealthReply {
     /// Always true.
     pub alive: bool,
 }
 
 /// Reply of `GET /ready`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ReadyReply {
     /// Whether the daemon has rules and knows its peers, and is not draining.
     pub ready: bool,
@@ -28,7 +30,8 @@
 }
 
 /// State of a member as this daemon sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
     /// Answers probes.
@@ -58,7 +61,8 @@
 }
 
 /// One daemon of the fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct MemberInfo {
     /// Name of the VM.
     pub vm: String,
@@ -77,14 +81,16 @@
 }
 
 /// Reply of `GET /members`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct MembersReply {
     /// All known members, the answering daemon included.
     pub members: Vec<MemberInfo>,
 }
 
 /// Query of `GET /rules`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct RulesQuery {
     /// A revision of the history, or the one in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -92,7 +98,8 @@
 }
 
 /// Reply of `GET /rules`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct RulesReply {
     /// Revision of the text.
     pub revision: Revision,
@@ -101,7 +108,8 @@
 }
 
 /// One change of the rules.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ChangeInfo {
     /// Revision that the change made.
     pub revision: Revision,
@@ -121,14 +129,16 @@
 }
 
 /// Reply of `GET /history`, newest first.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct HistoryReply {
     /// The change in force and those before it.
     pub changes: Vec<ChangeInfo>,
 }
 
 /// Body of `POST /rules`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct Edit {
     /// Id of the edit. Sending the same id again applies it at most once.
     pub edit: String,
@@ -151,7 +161,8 @@
 pub const TAIL: &str = "tail";
 
 /// How a rule differs between two texts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
     /// Only the newer text has the rule.
@@ -165,7 +176,8 @@
 }
 
 /// Difference of one rule.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct RuleChange {
     /// Id of the rule, `kind:NAME` or `customer:NAME`, or [`ORDER`] or [`TAIL`].
     pub id: String,
@@ -180,7 +192,8 @@
 }
 
 /// What became of an edit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Applied {
     /// Written as a new revision.
@@ -194,7 +207,8 @@
 }
 
 /// Reply of `POST /rules`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ApplyReply {
     /// What became of the edit.
     pub applied: Applied,
@@ -209,7 +223,8 @@
 }
 
 /// How bad a mistake in the rules file is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Severity {
     /// The text is refused.
@@ -219,7 +234,8 @@
 }
 
 /// A mistake in the rules file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct Mistake {
     /// How bad it is.
     pub severity: Severity,
@@ -249,7 +265,8 @@
 }
 
 /// Query of `GET /explain`. Without a call, customer and kind are explained by the rules alone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ExplainQuery {
     /// Customer, or `anonymous`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -263,7 +280,8 @@
 }
 
 /// What the rules give a kind of work.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct KindInfo {
     /// Name of the kind.
     pub kind: String,
@@ -289,7 +307,8 @@
 }
 
 /// What the rules give a customer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct CustomerInfo {
     /// Name of the customer.
     pub customer: String,
@@ -302,7 +321,8 @@
 }
 
 /// What became of one call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct CallInfo {
     /// Call id, in hexadecimal.
     pub call: String,
@@ -327,7 +347,8 @@
 }
 
 /// Reply of `GET /explain`.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ExplainReply {
     /// Revision of the rules in force.
     pub revision: Revision,
@@ -398,7 +419,8 @@
 }
 
 /// Reply of `GET /report`.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ReportReply {
     /// VM of the daemon that answers. The report covers calls that entered there.
     pub vm: String,
@@ -408,7 +430,8 @@
 }
 
 /// Load of the endpoints on this VM, and what the daemon admits to them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct ServiceStatus {
     /// Service of the endpoint.
     pub service: String,
@@ -427,7 +450,8 @@
 }
 
 /// Reply of `GET /status`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct StatusReply {
     /// VM of the daemon.
     pub vm: String,
@@ -463,14 +487,16 @@
 }
 
 /// Reply of `GET /metrics`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct MetricsReply {
     /// Counters since the start of the process, by name.
     pub counters: BTreeMap<String, u64>,
 }
 
 /// Body of `POST /drain`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct DrainRequest {
     /// Who drains the VM.
     pub author: String,
@@ -479,7 +505,8 @@
 }
 
 /// Reply of `POST /drain`. Asking again reports the progress.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct DrainReply {
     /// VM that drains.
     pub vm: String,
@@ -492,7 +519,8 @@
 }
 
 /// Holders of one home slot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct HomeInfo {
     /// Number of the slot.
     pub slot: u32,
@@ -507,7 +535,8 @@
 }
 
 /// Reply of `GET /homes`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct HomesReply {
     /// Revision of the home map.
     pub revision: Revision,
@@ -516,7 +545,8 @@
 }
 
 /// Body of `POST /homes`: confirms that both processes of a slot have ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct Reassign {
     /// Number of the slot.
     pub slot: u32,
@@ -525,7 +555,8 @@
 }
 
 /// Kind of problem that an answer reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum ProblemKind {
     /// The bearer key is missing or not accepted.
@@ -570,7 +601,8 @@
 }
 
 /// Body of an answer that reports a problem.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct Problem {
     /// Kind of problem.
     pub kind: ProblemKind,
@@ -585,7 +617,8 @@
 }
 
 /// A rule that two edits changed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 pub struct Conflict {
     /// Id of the rule, or [`ORDER`] or [`TAIL`].
     pub id: String,
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A key with its value.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Pair {
     /// Name of the value.
     pub key: String,
@@ -17,14 +18,16 @@
 }
 
 /// Answer to a listing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Pairs {
     /// Pairs in the order of their keys.
     pub pairs: Vec<Pair>,
 }
 
 /// Body of a write.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PutBody {
     /// The new value.
     #[serde(with = "base64_value")]
@@ -38,21 +41,24 @@
 }
 
 /// Answer to a write: the new revision, or the current one with status 409.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PutAnswer {
     /// Revision of the key.
     pub revision: Revision,
 }
 
 /// Body of a request for a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseBody {
     /// Time to live in milliseconds.
     pub ttl_ms: u64,
 }
 
 /// Answer to a grant or renewal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseAnswer {
     /// Id of the lease.
     pub id: u64,
--- a/crates/policy/src/burn.rs
+++ b/crates/policy/src/burn.rs
@@ -40,7 +40,8 @@
 const MIN_ALLOWED: f64 = 0.000_01;
 
 /// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// Answered within its deadline.
@@ -54,7 +55,8 @@
 }
 
 /// Calls by how they ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Answered within the deadline.
     pub good: u64,
@@ -97,7 +99,8 @@
 }
 
 /// Calls and burn of one window.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Window {
     /// Calls in the window.
     pub counts: Counts,
@@ -106,7 +109,8 @@
 }
 
 /// Burn of one kind, rank or customer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Name of the kind or customer, or number of the rank.
     pub name: String,
@@ -119,7 +123,8 @@
 }
 
 /// Burn of all kinds, ranks and customers that had calls within the long window.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// By kind, in order of name.
     pub kinds: Vec<Row>,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -25,7 +25,8 @@
 pub const SETTLE: Duration = Duration::from_millis(2_500);
 
 /// State of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// It takes calls.
@@ -37,7 +38,8 @@
 }
 
 /// What an endpoint says of itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Announcement {
     /// Id of this start.
     pub instance: InstanceId,
@@ -79,7 +81,8 @@
 }
 
 /// Entry of a VM in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmEntry {
     /// Name of the VM.
     pub vm: VmId,
--- a/crates/policy/src/home/map.rs
+++ b/crates/policy/src/home/map.rs
@@ -11,7 +11,8 @@
 pub const SLOTS: usize = 64;
 
 /// One daemon process.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Holder {
     /// VM of the process.
     pub vm: VmId,
@@ -61,7 +62,8 @@
 }
 
 /// Holders of one slot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotHolders {
     /// Serves the slot.
     pub owner: Holder,
@@ -100,7 +102,8 @@
 }
 
 /// Holders of all slots at one revision of the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HomeMap {
     /// Revision of the value in the platform. It is not part of the value.
     #[serde(skip)]
--- a/crates/policy/src/refusal.rs
+++ b/crates/policy/src/refusal.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a call ran at an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// No byte of the call reached an endpoint, and none will.
@@ -41,7 +42,8 @@
 }
 
 /// Why a call was refused or failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// The request is malformed or over a size bound.
--- a/crates/policy/src/rule.rs
+++ b/crates/policy/src/rule.rs
@@ -30,7 +30,8 @@
 pub const DEFAULT_WEIGHT: u32 = 1;
 
 /// One line of the rules file.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
     /// Declares a kind of work.
@@ -40,7 +41,8 @@
 }
 
 /// A kind of work and the calls that belong to it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KindRule {
     /// Name of the kind, unique in the file.
@@ -76,7 +78,8 @@
 }
 
 /// A customer and its weight among the customers of the same rank.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CustomerRule {
     /// Name of the customer, unique in the file.
@@ -86,7 +89,8 @@
 }
 
 /// A rule with its line and the person who asked for it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RuleLine {
     /// Line in the rules file, from 1. Zero for the built-in default.
     pub line: u32,
--- a/crates/sapphiredoor/src/rules.rs
+++ b/crates/sapphiredoor/src/rules.rs
@@ -46,7 +46,8 @@
 }
 
 /// Outcome of `rules check`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Checked {
     rules: usize,
     warnings: Vec<Mistake>,
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -251,6 +251,7 @@
             status: 500,
             id: served.id.as_deref(),
             fields: &[],
+            signature: &[],
             length: 0,
             retry_after: None,
             close,
@@ -259,10 +260,12 @@
             Ok(Reaction::Answer {
                 status,
                 fields,
+                signature,
                 body,
             }) => {
                 reply.status = *status;
                 reply.fields = fields;
+                reply.signature = signature;
                 reply.length = body.len();
                 answer::encode(&reply, bytes);
                 bytes.extend_from_slice(body);
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -72,6 +72,7 @@
             status,
             id: None,
             fields: b"Content-Type: application/json\r\n",
+            signature: &[],
             length: body.len(),
             retry_after: None,
             close: last,
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, Load, NotRun, SHARE_UNIT, Unknown};
+use crate::frame::{CallHead, CallKind, Load, NotRun, SHARE_UNIT, Unknown};
 use crate::gate::{Due, Job, JobId, Outcome, Reply};
 use crate::peer::SentCall;
 
@@ -74,6 +74,8 @@
         status: u16,
         /// Lines of the endpoint's header fields.
         fields: Vec<u8>,
+        /// Signature of the endpoint.
+        signature: Vec<u8>,
         /// Body.
         body: Bytes,
     },
@@ -174,8 +176,11 @@
     let share = match &origin {
         Some(origin) => origin.share,
         None => match admit(daemon, &route, &service, patience_of(&request, &route)) {
-            Some(share) => share,
-            None => return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled),
+            Entry::Refused => {
+                return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled);
+            }
+            // The most urgent work is not elastic.
+            Entry::Admitted(share) => (route.rank > 0).then_some((share * SHARE_UNIT) as u16),
         },
     };
     let daemons = daemon.fleet.borrow().len();
@@ -194,6 +199,7 @@
         Ok(Answer {
             status,
             fields,
+            signature,
             body,
             usage,
         }) => {
@@ -212,6 +218,7 @@
             Reaction::Answer {
                 status,
                 fields,
+                signature,
                 body,
             }
         }
@@ -257,25 +264,16 @@
     request.patience.unwrap_or(route.timeout)
 }
 
-/// Decides on a new chain: the share with which it is admitted, `None` inside for urgent work, or
-/// `None` when it is refused.
-fn admit(
-    daemon: &Daemon,
-    route: &Route,
-    service: &ServiceName,
-    patience: Duration,
-) -> Option<Option<u16>> {
+/// Decides on a new chain.
+fn admit(daemon: &Daemon, route: &Route, service: &ServiceName, patience: Duration) -> Entry {
     let mut throttle = daemon.throttle.borrow_mut();
-    match throttle.decide(route, service, patience, |service| daemon.share_of(service)) {
-        Entry::Refused => None,
-        Entry::Admitted(_) if route.rank == 0 => Some(None),
-        Entry::Admitted(share) => Some(Some((share * SHARE_UNIT) as u16)),
-    }
+    throttle.decide(route, service, patience, |service| daemon.share_of(service))
 }
 
 struct Answer {
     status: u16,
     fields: Vec<u8>,
+    signature: Vec<u8>,
     body: Bytes,
     usage: Usage,
 }
@@ -314,6 +312,7 @@
                     return Ok(Answer {
                         status: answer.status,
                         fields: answer.fields,
+                        signature: answer.signature,
                         body,
                         usage: answer.usage,
                     });
@@ -401,16 +400,18 @@
         let call = CallHead {
             id: self.request.id.clone(),
             left_us: left.as_micros() as u64,
-            instance: entry.endpoint.instance.to_string(),
-            caller: daemon.service().to_string(),
-            route: self.route.name.to_string(),
-            rank: self.route.rank,
-            idempotent: self.route.repeat == Repeat::Idempotent,
             share: self.share,
-            deep: self.deep,
-            method: self.request.method.clone(),
             target: self.request.target.clone(),
-            fields: self.request.fields.clone(),
+            kind: CallKind {
+                instance: entry.endpoint.instance.to_string(),
+                caller: daemon.service().to_string(),
+                route: self.route.name.to_string(),
+                rank: self.route.rank,
+                idempotent: self.route.repeat == Repeat::Idempotent,
+                deep: self.deep,
+                method: self.request.method.clone(),
+                fields: self.request.fields.clone(),
+            },
         };
         let address = entry.peer;
         drop(fleet);
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -1,25 +1,28 @@
-//! Guards against frames that are read across their bounds.
+//! Guards against frames that are read across their bounds or with the head of another call.
 
 use bytes::BytesMut;
+use rstest::rstest;
 
-use super::{CallHead, Frame, Load, NotRun, decode, encode};
+use super::{CallHead, CallKind, Decoder, Encoder, Frame, Load, NotRun};
 
-fn call() -> Frame {
+fn call(id: &str, route: &str) -> Frame {
     Frame::Call {
         stream: 7,
         call: CallHead {
-            id: "a".to_owned(),
+            id: id.to_owned(),
             left_us: 1_000,
-            instance: "i-1".to_owned(),
-            caller: "vitrina".to_owned(),
-            route: "r".to_owned(),
-            rank: 1,
-            idempotent: true,
             share: Some(500),
-            deep: false,
-            method: "GET".to_owned(),
             target: "/a/b".to_owned(),
-            fields: b"Host: h\r\n".to_vec(),
+            kind: CallKind {
+                instance: "i-1".to_owned(),
+                caller: "vitrina".to_owned(),
+                route: route.to_owned(),
+                rank: 1,
+                idempotent: true,
+                deep: false,
+                method: "GET".to_owned(),
+                fields: b"Host: h\r\n".to_vec(),
+            },
         },
     }
 }
@@ -32,27 +35,72 @@
         load: Load::default(),
     };
     let mut bytes = Vec::new();
-    encode(&call(), b"body", &mut bytes);
-    encode(&refused, b"", &mut bytes);
+    let mut encoder = Encoder::default();
+    encoder.encode(&call("a", "r"), b"body", &mut bytes);
+    encoder.encode(&refused, b"", &mut bytes);
     for split in 0..=bytes.len() {
+        let mut decoder = Decoder::default();
         let mut buffer = BytesMut::from(&bytes[..split]);
         let mut frames = Vec::new();
-        while let Some(frame) = decode(&mut buffer).unwrap() {
+        while let Some(frame) = decoder.decode(&mut buffer).unwrap() {
             frames.push(frame);
         }
         buffer.extend_from_slice(&bytes[split..]);
-        while let Some(frame) = decode(&mut buffer).unwrap() {
+        while let Some(frame) = decoder.decode(&mut buffer).unwrap() {
             frames.push(frame);
         }
         assert_eq!(frames.len(), 2);
-        assert_eq!(frames[0].0, call());
+        assert_eq!(frames[0].0, call("a", "r"));
         assert_eq!(&*frames[0].1, b"body");
         assert_eq!(frames[1].0, refused);
     }
 }
 
+#[test]
+fn calls_of_different_kinds_are_not_mixed_up() {
+    let mut bytes = Vec::new();
+    let mut encoder = Encoder::default();
+    let frames: Vec<Frame> = (0..30)
+        .map(|index| call(&format!("{index:016x}"), ["r", "s", "t"][index % 3]))
+        .collect();
+    for frame in &frames {
+        encoder.encode(frame, b"", &mut bytes);
+    }
+    let mut buffer = BytesMut::from(&*bytes);
+    let mut decoder = Decoder::default();
+    for frame in &frames {
+        assert_eq!(decoder.decode(&mut buffer).unwrap().unwrap().0, *frame);
+    }
+}
+
+#[rstest]
+#[case("9c41d07be2a35f68")]
+#[case("00000000000000ff.cae04806aecfa68a")]
+#[case("9C41D07BE2A35F68")]
+#[case("9c41.")]
+#[case(".")]
+#[case("any text")]
+fn ids_are_returned_to_the_letter(#[case] id: &str) {
+    let mut bytes = Vec::new();
+    Encoder::default().encode(&call(id, "r"), b"", &mut bytes);
+    let decoded = Decoder::default().decode(&mut BytesMut::from(&*bytes));
+    assert_eq!(decoded.unwrap().unwrap().0, call(id, "r"));
+}
+
+#[test]
+fn a_number_that_was_never_given_is_refused() {
+    let mut encoder = Encoder::default();
+    let mut bytes = Vec::new();
+    encoder.encode(&call("a", "r"), b"", &mut bytes);
+    bytes.clear();
+    encoder.encode(&call("a", "r"), b"", &mut bytes);
+    Decoder::default()
+        .decode(&mut BytesMut::from(&*bytes))
+        .unwrap_err();
+}
+
 #[test]
 fn a_head_longer_than_its_frame_is_refused() {
     let mut buffer = BytesMut::from(&[4, 0, 0, 0, 5, 0, 0, 0, 1, 2, 3, 4][..]);
-    decode(&mut buffer).unwrap_err();
+    Decoder::default().decode(&mut buffer).unwrap_err();
 }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -320,16 +320,16 @@
         }
         let id = self.next.get();
         self.next.set(id + 1);
-        let idempotent = job.call.idempotent;
+        let idempotent = job.call.kind.idempotent;
         let call = job.call.id.clone();
         let needed = self
             .times
             .borrow()
-            .get(&job.call.route)
+            .get(&job.call.kind.route)
             .map_or(LEAST_TIME, |times| times.least().max(LEAST_TIME));
         let bid = Bid {
             // Calls of work that is under way go before new ones of their rank.
-            rank: job.call.rank * 2 + u32::from(!job.call.deep),
+            rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.deep),
             due: job.due.at,
             needed,
             job: (id, job),
@@ -457,7 +457,7 @@
     }
 
     fn refusal(&self, daemon: &Daemon, now: Instant, job: &Job) -> Option<NotRun> {
-        if !self.serves(&job.call.instance) {
+        if !self.serves(&job.call.kind.instance) {
             return Some(NotRun::Unknown);
         }
         let stopping = daemon.stopping_for();
@@ -480,13 +480,13 @@
         if daemon.journal.allows(daemon.clock.now(), "gate_refused") {
             let load = self.load();
             let left = job.due.left(daemon.clock.now(), daemon.clock.boot());
-            info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.route, reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
+            info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.kind.route, reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
         }
         job.reply.send(Outcome::NotRun(reason), self.load());
     }
 
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
-        let idempotent = job.call.idempotent;
+        let idempotent = job.call.kind.idempotent;
         let call = job.call.id.clone();
         let origin = Origin {
             share: job.call.share,
@@ -533,7 +533,7 @@
                 if (200..300).contains(&answer.status) {
                     let mut times = self.times.borrow_mut();
                     times
-                        .entry(job.call.route.clone())
+                        .entry(job.call.kind.route.clone())
                         .or_default()
                         .succeeded(held);
                 }
@@ -551,7 +551,7 @@
                 if let Outcome::Unknown(reason) = &outcome
                     && daemon.journal.allows(now, "endpoint_failed")
                 {
-                    info!(event = "endpoint_failed", id = &*job.call.id, route = &*job.call.route, instance = &*job.call.instance, reason:? = reason, held_ms = held.as_millis() as u64; "");
+                    info!(event = "endpoint_failed", id = &*job.call.id, route = &*job.call.kind.route, instance = &*job.call.kind.instance, reason:? = reason, held_ms = held.as_millis() as u64; "");
                 }
                 job.reply.send(outcome, self.load());
             }
@@ -593,7 +593,7 @@
 async fn run(daemon: &Rc<Daemon>, pool: &Pool, job: &Job) -> Outcome {
     let outgoing = Outgoing {
         id: &job.call.id,
-        idempotent: job.call.idempotent,
+        idempotent: job.call.kind.idempotent,
     };
     let build = || build(daemon, job);
     let limit = job.due.at + DEADLINE_SLACK;
@@ -617,6 +617,7 @@
             let head = AnswerHead {
                 status: answer.status,
                 fields: answer.fields,
+                signature: answer.signature,
                 held_us: 0,
                 usage: Vec::new(),
             };
@@ -631,7 +632,7 @@
     if gate.has_left(daemon, SEND_SHARE) {
         return Err(NotRun::Leaving);
     }
-    if !gate.serves(&job.call.instance) {
+    if !gate.serves(&job.call.kind.instance) {
         return Err(NotRun::Unknown);
     }
     let left = job.due.left(daemon.clock.now(), daemon.clock.boot());
@@ -640,13 +641,13 @@
     }
     let forward = Forward {
         id: &job.call.id,
-        method: &job.call.method,
+        method: &job.call.kind.method,
         target: &job.call.target,
-        fields: &job.call.fields,
+        fields: &job.call.kind.fields,
         length: job.body.len(),
         left,
-        instance: &job.call.instance,
-        caller: &job.call.caller,
+        instance: &job.call.kind.instance,
+        caller: &job.call.kind.caller,
     };
     let mut bytes = Vec::with_capacity(512 + job.body.len());
     request::encode(&forward, &mut bytes);
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use policy::clock::Clock;
 use policy::fleet::State;
 use tokio::sync::oneshot::{self, Receiver};
 use tokio::task::LocalSet;
 
 use super::{Due, Job, Outcome, Reply};
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, Load, NotRun};
+use crate::frame::{CallHead, CallKind, Load, NotRun};
 use crate::testing::{announcement, daemon};
 
 type Outcomes = Receiver<(Outcome, Load)>;
@@ -24,16 +23,18 @@
         call: CallHead {
             id: "a".to_owned(),
             left_us: 1_000_000,
-            instance: instance.to_owned(),
-            caller: "vitrina".to_owned(),
-            route: "r".to_owned(),
-            rank: 1,
-            idempotent: false,
             share: Some(1_000),
-            deep: false,
-            method: "POST".to_owned(),
             target: "/".to_owned(),
-            fields: Vec::new(),
+            kind: CallKind {
+                instance: instance.to_owned(),
+                caller: "vitrina".to_owned(),
+                route: "r".to_owned(),
+                rank: 1,
+                idempotent: false,
+                deep: false,
+                method: "POST".to_owned(),
+                fields: Vec::new(),
+            },
         },
         body: Bytes::new(),
         due: Due {
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::daemon::Daemon;
-use crate::frame::{self, Frame, PROTOCOL, StreamId};
+use crate::frame::{BadFrame, Decoder, Frame, PROTOCOL, StreamId};
 use crate::gate::{Due, Job, JobId, Reply};
 use crate::outbox::Outbox;
 
@@ -75,17 +75,18 @@
     };
     let (mut reader, mut writer) = stream.split();
     let mut buffer = BytesMut::with_capacity(16 << 10);
+    let mut decoder = Decoder::default();
     let read = async {
         while matches!(reader.read_buf(&mut buffer).await, Ok(count) if count > 0) {
             loop {
-                match frame::decode(&mut buffer) {
+                match decoder.decode(&mut buffer) {
                     Ok(Some((frame, body))) => {
                         if !connection.take(frame, body) {
                             return;
                         }
                     }
                     Ok(None) => break,
-                    Err(frame::BadFrame) => return,
+                    Err(BadFrame) => return,
                 }
             }
         }
--- a/crates/sidecar/src/outbox.rs
+++ b/crates/sidecar/src/outbox.rs
@@ -9,13 +9,14 @@
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
 
-use crate::frame::{self, Frame};
+use crate::frame::{Encoder, Frame};
 
 /// Bytes that may wait. A peer that does not read for so long is treated as failed.
 const MAX_WAITING: usize = 24 << 20;
 
 #[derive(Debug, Default)]
 struct Inner {
+    encoder: RefCell<Encoder>,
     buffer: RefCell<Vec<u8>>,
     pushed: Cell<u64>,
     written: Cell<u64>,
@@ -50,7 +51,8 @@
         if before + body.len() > MAX_WAITING {
             return None;
         }
-        frame::encode(frame, body, &mut buffer);
+        let mut encoder = self.0.encoder.borrow_mut();
+        encoder.encode(frame, body, &mut buffer);
         let end = self.0.pushed.get() + (buffer.len() - before) as u64;
         self.0.pushed.set(end);
         self.0.filled.notify_one();
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::daemon::Daemon;
-use crate::frame::{self, CallHead, Frame, Load, NotRun, PROTOCOL, StreamId, Unknown};
+use crate::frame::{BadFrame, CallHead, Decoder, Frame, Load, NotRun, PROTOCOL, StreamId, Unknown};
 use crate::gate::Outcome;
 use crate::outbox::Outbox;
 
@@ -181,6 +181,7 @@
         link.heard.set(daemon.clock.now());
         let (mut reader, mut writer) = stream.split();
         let mut buffer = BytesMut::with_capacity(16 << 10);
+        let mut decoder = Decoder::default();
         let read = async {
             loop {
                 match reader.read_buf(&mut buffer).await {
@@ -191,10 +192,10 @@
                 link.heard.set(daemon.clock.now());
                 link.pinged.set(None);
                 loop {
-                    match frame::decode(&mut buffer) {
+                    match decoder.decode(&mut buffer) {
                         Ok(Some((frame, body))) => self.take(daemon, link, frame, body),
                         Ok(None) => break,
-                        Err(frame::BadFrame) => return "a frame cannot be read".to_owned(),
+                        Err(BadFrame) => return "a frame cannot be read".to_owned(),
                     }
                 }
             }
@@ -358,12 +359,13 @@
         outbox.push(&Frame::AskState, &[]);
         let (mut reader, mut writer) = stream.split();
         let mut buffer = BytesMut::new();
+        let mut decoder = Decoder::default();
         let read = async {
             loop {
                 if reader.read_buf(&mut buffer).await.ok()? == 0 {
                     return None;
                 }
-                while let Some((frame, body)) = frame::decode(&mut buffer).ok()? {
+                while let Some((frame, body)) = decoder.decode(&mut buffer).ok()? {
                     if let Frame::State { entries, revision } = frame {
                         daemon.adopt_state(&entries, revision, &body);
                         return Some(());
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -14,7 +14,8 @@
 mod tests;
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the VM.
@@ -37,7 +38,8 @@
 }
 
 /// Endpoint beside the daemon.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointSettings {
     /// Service that it serves.
@@ -49,7 +51,8 @@
 }
 
 /// Addresses on which the daemon listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// Calls of clients and of the endpoint.
@@ -65,7 +68,8 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Its address.
@@ -75,7 +79,8 @@
 }
 
 /// Bounds that the operators set.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
     /// Time from the word that an endpoint leaves to its last new call, in milliseconds.
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -34,7 +34,8 @@
 }
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Settings {
     /// Name of the VM.
     pub vm: String,
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -44,7 +44,8 @@
 const COLD_FACTOR: f64 = 2.0;
 
 /// Calls that each call makes to another service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Child {
     /// Service called.
@@ -59,7 +60,8 @@
 }
 
 /// Properties of an endpoint.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Spec {
     /// Name of the service.
@@ -96,7 +98,8 @@
 }
 
 /// Faults of an endpoint. The default is none.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Multiplies the service time.
@@ -133,7 +136,8 @@
 }
 
 /// Which connections go silent for good.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Silence {
     /// None.
@@ -145,7 +149,8 @@
 }
 
 /// Announcement to the daemon.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 struct Announcement<'a> {
     service: &'a str,
     address: String,
@@ -154,7 +159,8 @@
 }
 
 /// Report to the daemon.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 struct Report {
     /// Calls running and waiting in relation to the slots.
     load: f64,
--- a/crates/standin/src/latency.rs
+++ b/crates/standin/src/latency.rs
@@ -45,7 +45,8 @@
 }
 
 /// Way of the calls to the endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Way {
     /// Straight to the endpoint.
@@ -57,7 +58,8 @@
 }
 
 /// Latencies of one way at one rate.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// Calls a second.
     pub rate: f64,
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -21,7 +21,8 @@
 }
 
 /// Summary of a [`Ledger`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Runs {
     /// Runs of requests.
     pub runs: u64,
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -36,7 +36,8 @@
 const MAX_LATENCY_US: u64 = 60_000_000;
 
 /// A class of calls.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name in tables.
@@ -67,7 +68,8 @@
 }
 
 /// A time of constant rates.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Phase {
     /// Name in tables.
@@ -79,7 +81,8 @@
 }
 
 /// What callers do.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Calls a second of all classes together at factor 1.
@@ -271,7 +274,8 @@
 }
 
 /// Calls due within one second after the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Second {
     /// Calls due in this second.
     pub offered: u32,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -32,7 +32,8 @@
 const MAX_BODY: usize = MAX_VALUE * 4 / 3 + 4096;
 
 /// Faults of the service. The default is none.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Refuses every call with status 503.
@@ -50,7 +51,8 @@
 }
 
 /// A fault at one step of the next calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NextFault {
     /// Step of the call.
     pub step: Step,
@@ -64,7 +66,8 @@
 }
 
 /// Step of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Step {
     /// The call has arrived and has not taken effect.
@@ -78,7 +81,8 @@
 }
 
 /// What happens at a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
     /// The connection is cut.
@@ -90,7 +94,8 @@
 }
 
 /// Calls that arrived, by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Values read.
     pub reads: u64,
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -17,7 +17,8 @@
 const STABLE_SECONDS: usize = 2;
 
 /// Latencies of calls served, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Latency {
     /// Median.
     pub p50: f64,
@@ -41,7 +42,8 @@
 }
 
 /// One class in one phase.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// Name of the phase.
     pub phase: String,
@@ -103,7 +105,8 @@
 }
 
 /// Recovery of one class after a disturbed phase.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Recovery {
     /// Name of the disturbed phase.
     pub after: String,
@@ -321,7 +324,8 @@
                                   base good  own good   ratio  base p99   own p99   ratio";
 
 /// One line of JSON output.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(tag = "type", rename_all = "kebab-case")]
 enum Line<'a> {
     Class(Row),
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -35,7 +35,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Content of a scenario file.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// Name in the output.
@@ -59,7 +60,8 @@
 }
 
 /// A service with its upstreams.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name.
@@ -85,7 +87,8 @@
 }
 
 /// A time of constant rates, with faults.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Phase {
     /// Name in tables.
@@ -118,7 +121,8 @@
 }
 
 /// Faults of some endpoints.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointFaults {
     /// Service.
@@ -134,7 +138,8 @@
 }
 
 /// End of a VM. A failure closes its endpoint and kills its daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEvent {
     /// Service.
