--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -8,14 +8,23 @@
 use std::time::{Duration, Instant};
 
 use crate::id::VmId;
-use crate::traffic::RouteName;
+use crate::traffic::{Route, RouteName};
 
 #[cfg(test)]
 mod tests;
 
-/// Advantage in expected time that an endpoint of another data centre needs. Bytes between data
+/// Part of a route's objective that an endpoint of another data centre must save.
+const FAR_SHARE: f64 = 0.2;
+
+/// Time that it must save besides for each kilobyte of the answer, in seconds. Bytes between data
 /// centres are the dearest resource of the deployments.
-const FAR_PENALTY: Duration = Duration::from_millis(60);
+const FAR_PER_KILOBYTE: f64 = 0.03;
+
+/// Most that it must save, as a part of the objective: an answer in time goes before bytes.
+const MAX_FAR_SHARE: f64 = 0.5;
+
+/// Weight of a new sample in the mean size of a route's answers.
+const SIZE_WEIGHT: f64 = 0.05;
 
 /// Time for which a failed endpoint is left out.
 const EJECTION: Duration = Duration::from_millis(800);
@@ -164,6 +173,28 @@
     }
 }
 
+/// Sizes of the answers of routes.
+#[derive(Debug, Default)]
+pub struct Sizes(HashMap<RouteName, f64>);
+
+impl Sizes {
+    /// Takes the size of an answer in bytes.
+    pub fn answered(&mut self, route: &RouteName, bytes: usize) {
+        let bytes = bytes as f64;
+        let mean = self.0.entry(RouteName::clone(route)).or_insert(bytes);
+        *mean += SIZE_WEIGHT * (bytes - *mean);
+    }
+
+    /// Time that an endpoint of another data centre must save.
+    #[must_use]
+    pub fn far_penalty(&self, route: &Route) -> Duration {
+        let kilobytes = self.0.get(&route.name).copied().unwrap_or(0.0) / 1_024.0;
+        let objective = route.objective.as_secs_f64();
+        let penalty = objective * FAR_SHARE + kilobytes * FAR_PER_KILOBYTE;
+        Duration::from_secs_f64(penalty.min(objective * MAX_FAR_SHARE))
+    }
+}
+
 /// An endpoint that may take a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -177,11 +208,13 @@
 
 /// Chooses the endpoint where the call is expected to be answered first.
 ///
-/// `toss` is a random number that decides between equals.
+/// An endpoint of another data centre must save `far` to be chosen. `toss` is a random number that
+/// decides between equals.
 #[must_use]
 pub fn choose<'a>(
     now: Instant,
     route: &RouteName,
+    far: Duration,
     candidates: &[Candidate<'a>],
     toss: usize,
 ) -> Option<&'a VmId> {
@@ -199,11 +232,7 @@
             let time = candidate
                 .target
                 .map_or(Duration::ZERO, |target| target.expected(now, route));
-            time + if candidate.near {
-                Duration::ZERO
-            } else {
-                FAR_PENALTY
-            }
+            time + if candidate.near { Duration::ZERO } else { far }
         })
         .map(|candidate| candidate.vm)
 }
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -3,9 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Candidate, EJECTION, Load, Target, choose};
+use super::{Candidate, EJECTION, Load, Sizes, Target, choose};
 use crate::id::VmId;
-use crate::traffic::RouteName;
+use crate::traffic::{Repeat, Route, RouteName};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -18,6 +18,20 @@
     }
 }
 
+fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: MS * 800,
+        objective: MS * 800,
+        rank: 1,
+        attempts: 2,
+        parts: Vec::new(),
+    }
+}
+
 fn pick(now: Instant, targets: &[(&VmId, &Target, bool)]) -> String {
     let candidates: Vec<Candidate<'_>> = targets
         .iter()
@@ -28,7 +42,9 @@
         })
         .collect();
     let route: RouteName = "r".into();
-    choose(now, &route, &candidates, 1).unwrap().to_string()
+    choose(now, &route, MS * 60, &candidates, 1)
+        .unwrap()
+        .to_string()
 }
 
 #[test]
@@ -101,9 +117,9 @@
     let (first, second): (VmId, VmId) = ("first".into(), "second".into());
     let mut a = Target::default();
     let mut b = Target::default();
-    b.report(now, load(40));
     a.leaves(now, MS * 8_000);
     let later = now + MS * 5_000;
+    b.report(later, load(40));
     assert_eq!(
         pick(later, &[(&first, &a, true), (&second, &b, true)]),
         "second"
@@ -114,3 +130,16 @@
         "first"
     );
 }
+
+#[test]
+fn large_answers_stay_in_their_data_centre_longer_but_not_at_any_price() {
+    let mut sizes = Sizes::default();
+    let mut small = route();
+    small.name = "small".into();
+    let mut large = route();
+    large.name = "large".into();
+    sizes.answered(&small.name, 400);
+    sizes.answered(&large.name, 400 << 10);
+    assert!(sizes.far_penalty(&small) < sizes.far_penalty(&large));
+    assert!(sizes.far_penalty(&large) <= large.objective / 2);
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -12,6 +12,7 @@
 use policy::clock::Clock;
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
+use policy::placement::Sizes;
 use policy::repeat::RepeatBudget;
 use policy::throttle::Throttle;
 use policy::traffic::{Configuration, Splitter};
@@ -63,6 +64,8 @@
     pub gate: Gate,
     /// Shares of the parts of routes.
     pub splitter: RefCell<Splitter>,
+    /// Sizes of the answers of routes.
+    pub sizes: RefCell<Sizes>,
     /// Budget for sending calls once more.
     pub budget: RefCell<RepeatBudget>,
     /// Refusal of new chains.
@@ -103,6 +106,7 @@
             watchers: Watchers::default(),
             gate: Gate::new(settings.endpoint.address, clock.now()),
             splitter: RefCell::new(Splitter::new(rng.random())),
+            sizes: RefCell::default(),
             budget: RefCell::new(RepeatBudget::new(settings.bounds.repeats())),
             throttle: RefCell::new(Throttle::new(rng.random())),
             rng: RefCell::new(rng),
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -309,6 +309,8 @@
             self.note(now, &vm, &outcome, load);
             match outcome {
                 Outcome::Answered(answer, body) => {
+                    let mut sizes = self.daemon.sizes.borrow_mut();
+                    sizes.answered(&self.route.name, body.len());
                     return Ok(Answer {
                         status: answer.status,
                         fields: answer.fields,
@@ -389,7 +391,8 @@
             })
             .collect();
         let toss = self.daemon.rng.borrow_mut().random::<u32>() as usize;
-        placement::choose(now, &self.route.name, &candidates, toss).cloned()
+        let far = self.daemon.sizes.borrow().far_penalty(self.route);
+        placement::choose(now, &self.route.name, far, &candidates, toss).cloned()
     }
 
     fn send(&self, vm: &VmId) -> Option<Sent> {
