Place chains in the data centre where the services below have room

Cause: all data centres admitted the same share of their chains although the deep endpoints differ in speed by more than two, so one was full and another idle.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -23,6 +23,9 @@
 /// Most that it must save, as a part of the objective: an answer in time goes before bytes.
 const MAX_FAR_SHARE: f64 = 0.5;
 
+/// Part of the objective that a place without any room below is slower.
+const ROOM_SHARE: f64 = 0.8;
+
 /// Weight of a new sample in the mean size of a route's answers.
 const SIZE_WEIGHT: f64 = 0.05;
 
@@ -204,16 +207,19 @@
     pub target: Option<&'a Target>,
     /// Whether it is in the data centre of this daemon.
     pub near: bool,
+    /// Share of a chain's calls that the services below can take in its data centre.
+    pub room: f64,
 }
 
 /// Chooses the endpoint where the call is expected to be answered first.
 ///
-/// An endpoint of another data centre must save `far` to be chosen. `toss` is a random number that
-/// decides between equals.
+/// The calls of a chain stay in the data centre where it is placed, so a place with little room below
+/// counts as slower. An endpoint of another data centre must save `far` to be chosen. `toss` is a
+/// random number that decides between equals.
 #[must_use]
 pub fn choose<'a>(
     now: Instant,
-    route: &RouteName,
+    route: &Route,
     far: Duration,
     candidates: &[Candidate<'a>],
     toss: usize,
@@ -231,8 +237,9 @@
         .min_by_key(|candidate| {
             let time = candidate
                 .target
-                .map_or(Duration::ZERO, |target| target.expected(now, route));
-            time + if candidate.near { Duration::ZERO } else { far }
+                .map_or(Duration::ZERO, |target| target.expected(now, &route.name));
+            let crowded = route.objective.mul_f64(ROOM_SHARE * (1.0 - candidate.room));
+            time + crowded + if candidate.near { Duration::ZERO } else { far }
         })
         .map(|candidate| candidate.vm)
 }
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Candidate, EJECTION, Load, Sizes, Target, choose};
 use crate::id::VmId;
-use crate::traffic::{Repeat, Route, RouteName};
+use crate::traffic::{Repeat, Route};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -39,10 +39,10 @@
             vm,
             target: Some(target),
             near: *near,
+            room: 1.0,
         })
         .collect();
-    let route: RouteName = "r".into();
-    choose(now, &route, MS * 60, &candidates, 1)
+    choose(now, &route(), MS * 60, &candidates, 1)
         .unwrap()
         .to_string()
 }
@@ -143,3 +143,24 @@
     assert!(sizes.far_penalty(&small) < sizes.far_penalty(&large));
     assert!(sizes.far_penalty(&large) <= large.objective / 2);
 }
+
+#[test]
+fn a_chain_goes_where_the_services_below_have_room() {
+    let now = Instant::now();
+    let (near, far): (VmId, VmId) = ("near".into(), "far".into());
+    let target = Target::default();
+    let candidate = |vm, near, room| Candidate {
+        vm,
+        target: Some(&target),
+        near,
+        room,
+    };
+    let pick = |room| {
+        let candidates = [candidate(&near, true, room), candidate(&far, false, 1.0)];
+        choose(now, &route(), MS * 200, &candidates, 0)
+            .unwrap()
+            .to_string()
+    };
+    assert_eq!(pick(0.9), "near");
+    assert_eq!(pick(0.3), "far");
+}
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -104,6 +104,17 @@
         })
     }
 
+    /// Services that a route reaches through others.
+    pub fn uses(&self, route: &RouteName) -> Vec<ServiceName> {
+        let state = self.routes.get(route);
+        state
+            .into_iter()
+            .flat_map(|state| &state.usage)
+            .filter(|(_, calls)| **calls >= USES)
+            .map(|(service, _)| ServiceName::clone(service))
+            .collect()
+    }
+
     /// Decides on a new chain that starts at a service. `share_of` gives the share that a service can take.
     pub fn decide(
         &mut self,
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -175,14 +175,23 @@
         }
     }
 
-    /// Share of the elastic work that a service can take: the mean of its gates by their capacity.
+    /// Share of the elastic work that a service can take, in one data centre or in all: the mean of
+    /// its gates by their capacity.
     #[must_use]
-    pub fn share_of(&self, service: &str) -> f64 {
+    pub fn share_of(&self, service: &str, data_centre: Option<&str>) -> Option<f64> {
         let now = self.clock.now();
         let fleet = self.fleet.borrow();
         let mut sum = 0.0;
         let mut total = 0.0;
         for vm in fleet.ready(service) {
+            let elsewhere = |centre: &str| {
+                fleet
+                    .get(vm)
+                    .is_none_or(|entry| *entry.data_centre != *centre)
+            };
+            if data_centre.is_some_and(elsewhere) {
+                continue;
+            }
             let peer = self.peers.get(vm);
             let reported = peer.target.borrow().share(now);
             if let Some((capacity, share)) = reported {
@@ -190,7 +199,7 @@
                 total += capacity;
             }
         }
-        if total > 0.0 { sum / total } else { 1.0 }
+        (total > 0.0).then(|| sum / total)
     }
 
     /// What this daemon knows, for another one.
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -26,6 +26,9 @@
 /// Time after the deadline in which an outcome that is on its way is still awaited.
 const OUTCOME_SLACK: Duration = Duration::from_millis(80);
 
+/// Part of the usual gain for which a call of a chain leaves its data centre.
+const DEEP_CALLS: u32 = 2;
+
 /// Pause of a caller without a route, before a random part of as much again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -267,7 +270,9 @@
 /// Decides on a new chain.
 fn admit(daemon: &Daemon, route: &Route, service: &ServiceName, patience: Duration) -> Entry {
     let mut throttle = daemon.throttle.borrow_mut();
-    throttle.decide(route, service, patience, |service| daemon.share_of(service))
+    throttle.decide(route, service, patience, |service| {
+        daemon.share_of(service, None).unwrap_or(1.0)
+    })
 }
 
 struct Answer {
@@ -378,21 +383,35 @@
             .filter(|vm| !refused.contains(vm))
             .map(|vm| (vm, self.daemon.peers.get(vm)))
             .collect();
+        let uses = if self.deep {
+            Vec::new()
+        } else {
+            self.daemon.throttle.borrow().uses(&self.route.name)
+        };
+        let room = |centre: &str| {
+            uses.iter()
+                .filter_map(|service| self.daemon.share_of(service, Some(centre)))
+                .fold(1.0, f64::min)
+        };
         let targets: Vec<_> = peers.iter().map(|(_, peer)| peer.target.borrow()).collect();
         let candidates: Vec<Candidate<'_>> = peers
             .iter()
             .zip(&targets)
-            .map(|((vm, _), target)| Candidate {
-                vm,
-                target: Some(target),
-                near: fleet
-                    .get(vm)
-                    .is_some_and(|entry| entry.data_centre == self.daemon.data_centre),
+            .filter_map(|((vm, _), target)| {
+                let centre = &fleet.get(vm)?.data_centre;
+                Some(Candidate {
+                    vm,
+                    target: Some(target),
+                    near: *centre == self.daemon.data_centre,
+                    room: room(centre),
+                })
             })
             .collect();
         let toss = self.daemon.rng.borrow_mut().random::<u32>() as usize;
         let far = self.daemon.sizes.borrow().far_penalty(self.route);
-        placement::choose(now, &self.route.name, far, &candidates, toss).cloned()
+        // A chain makes its calls one after another, so a wait for each of them adds up.
+        let far = if self.deep { far / DEEP_CALLS } else { far };
+        placement::choose(now, self.route, far, &candidates, toss).cloned()
     }
 
     fn send(&self, vm: &VmId) -> Option<Sent> {
