--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -55,6 +55,8 @@
     pub held: Duration,
     /// Share of the elastic work that it can take.
     pub share: f64,
+    /// Part of the calls sent to the endpoint that it does not refuse.
+    pub accepted: f64,
 }
 
 impl Default for Load {
@@ -64,11 +66,53 @@
             limit: 0,
             held: Duration::ZERO,
             share: 1.0,
+            accepted: 1.0,
         }
     }
 }
 
+/// What an endpoint, or the endpoints of a service, can take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    /// Calls that can be finished in a second.
+    pub capacity: f64,
+    /// Share of the elastic work that fits.
+    pub share: f64,
+    /// Part of the calls that endpoints do not refuse.
+    pub accepted: f64,
+}
+
+impl Room {
+    /// Room of several endpoints together; `None` of none.
+    #[must_use]
+    pub fn sum(rooms: impl Iterator<Item = Self>) -> Option<Self> {
+        let mut sum = Self {
+            capacity: 0.0,
+            share: 0.0,
+            accepted: 0.0,
+        };
+        for room in rooms {
+            sum.capacity += room.capacity;
+            sum.share += room.share * room.capacity;
+            sum.accepted += room.accepted * room.capacity;
+        }
+        (sum.capacity > 0.0).then(|| Self {
+            capacity: sum.capacity,
+            share: sum.share / sum.capacity,
+            accepted: sum.accepted / sum.capacity,
+        })
+    }
+}
+
 impl Load {
+    fn room(&self) -> Room {
+        Room {
+            capacity: self.capacity(),
+            share: self.share,
+            accepted: self.accepted,
+        }
+    }
+
     /// Calls that the endpoint can finish in a second.
     #[must_use]
     pub fn capacity(&self) -> f64 {
@@ -144,12 +188,18 @@
         self.ejected.is_some_and(|until| now < until)
     }
 
-    /// Capacity in calls per second and share, if the gate reported them a short time ago.
+    /// What the endpoint can take, if its gate reported a load a short time ago or cannot be reached.
     #[must_use]
-    pub fn share(&self, now: Instant) -> Option<(f64, f64)> {
+    pub fn room(&self, now: Instant) -> Option<Room> {
         let reported = self.reported?;
+        if self.is_ejected(now) {
+            return Some(Room {
+                share: 0.0,
+                ..self.load.room()
+            });
+        }
         let fresh = now.saturating_duration_since(reported) < SHARE_AGE;
-        fresh.then(|| (self.load.capacity(), self.load.share))
+        fresh.then(|| self.load.room())
     }
 
     /// Calls believed to run or wait there.
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -15,6 +15,7 @@
         limit: 10,
         held: MS * 50,
         share: 1.0,
+        accepted: 1.0,
     }
 }
 
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::id::ServiceName;
+use crate::placement::Room;
 use crate::traffic::{Route, RouteName};
 
 #[cfg(test)]
@@ -35,6 +36,12 @@
 /// Smallest part of the possible pause, so that clients come back spread out and not at once.
 const LEAST_PAUSE: f64 = 0.3;
 
+/// Chance of a chain to succeed below which it is refused more and more: its work is wasted.
+const LEAST_CHANCE: f64 = 0.4;
+
+/// Share that is admitted in any case, to notice when things are better.
+const TRICKLE: f64 = 0.02;
+
 /// Shortest pause.
 const MIN_PAUSE: Duration = Duration::from_millis(150);
 
@@ -115,23 +122,28 @@
             .collect()
     }
 
-    /// Decides on a new chain that starts at a service. `share_of` gives the share that a service can take.
+    /// Decides on a new chain that starts at a service. `room_of` gives what a service can take;
+    /// `None` stands for a service of which nothing is known.
     pub fn decide(
         &mut self,
         route: &Route,
         service: &ServiceName,
         patience: Duration,
-        share_of: impl Fn(&ServiceName) -> f64,
+        room_of: impl Fn(&ServiceName) -> Option<Room>,
     ) -> Entry {
         let state = self.state(&route.name);
         let returned = patience < state.patience.mul_f64(RETURNED_BELOW);
         state.patience = state.patience.max(patience);
-        let share = state
-            .usage
-            .iter()
-            .filter(|(_, calls)| **calls >= USES)
+        let share_of = |service| room_of(service).map_or(1.0, |room: Room| room.share);
+        let uses = || state.usage.iter().filter(|(_, calls)| **calls >= USES);
+        let share = uses()
             .map(|(service, _)| share_of(service))
             .fold(share_of(service), f64::min);
+        // Each call that an endpoint refuses ends its chain, since the budget of repeats is small.
+        let chance: f64 = uses()
+            .filter_map(|(service, calls)| Some(room_of(service)?.accepted.powf(*calls)))
+            .product();
+        let share = share.min(chance * LEAST_CHANCE.recip()).max(TRICKLE);
         if route.rank == 0 || share >= 1.0 {
             return Entry::Admitted(1.0);
         }
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -4,6 +4,7 @@
 
 use super::{Entry, Throttle};
 use crate::id::ServiceName;
+use crate::placement::Room;
 use crate::traffic::{Part, Repeat, Route};
 
 const MS: Duration = Duration::from_millis(1);
@@ -31,15 +32,19 @@
         .count()
 }
 
+fn room(share: f64, accepted: f64) -> Room {
+    Room {
+        capacity: 100.0,
+        share,
+        accepted,
+    }
+}
+
 /// Decides with this share at the deep service and all of the demand at any other.
 fn decide(throttle: &mut Throttle, route: &Route, patience: Duration, share: f64) -> Entry {
     let own = &route.parts[0].service;
     throttle.decide(route, own, patience, |service| {
-        if **service == *"inventario" {
-            share
-        } else {
-            1.0
-        }
+        (**service == *"inventario").then(|| room(share, 1.0))
     })
 }
 
@@ -96,7 +101,28 @@
     let catalogo = route("catalogo", 1);
     let own = &catalogo.parts[0].service;
     let admitted = (0..100)
-        .filter(|_| throttle.decide(&catalogo, own, MS * 5_000, |_| 0.5) != Entry::Refused)
+        .filter(|_| {
+            throttle.decide(&catalogo, own, MS * 5_000, |_| Some(room(0.5, 1.0))) != Entry::Refused
+        })
         .count();
     assert_eq!(admitted, 50);
 }
+
+#[test]
+fn chains_that_refusals_would_end_are_not_started() {
+    let count = |accepted: f64| {
+        let mut throttle = learned();
+        let catalogo = route("catalogo", 1);
+        let own = &catalogo.parts[0].service;
+        (0..100)
+            .filter(|_| {
+                let room_of = |service: &ServiceName| {
+                    (**service == *"inventario").then(|| room(1.0, accepted))
+                };
+                throttle.decide(&catalogo, own, MS * 5_000, room_of) != Entry::Refused
+            })
+            .count()
+    };
+    assert_eq!(count(0.99), 100);
+    assert!(count(0.45) <= 3, "{}", count(0.45));
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -12,7 +12,7 @@
 use policy::clock::Clock;
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
-use policy::placement::Sizes;
+use policy::placement::{Room, Sizes};
 use policy::repeat::RepeatBudget;
 use policy::throttle::Throttle;
 use policy::traffic::{Configuration, Splitter};
@@ -175,31 +175,25 @@
         }
     }
 
-    /// Share of the elastic work that a service can take, in one data centre or in all: the mean of
-    /// its gates by their capacity.
+    /// What the endpoints of a service can take, in one data centre or in all. Nothing is known of a
+    /// service whose gates have not been heard.
     #[must_use]
-    pub fn share_of(&self, service: &str, data_centre: Option<&str>) -> Option<f64> {
+    pub fn room_of(&self, service: &str, data_centre: Option<&str>) -> Option<Room> {
         let now = self.clock.now();
         let fleet = self.fleet.borrow();
-        let mut sum = 0.0;
-        let mut total = 0.0;
-        for vm in fleet.ready(service) {
-            let elsewhere = |centre: &str| {
+        let within = |vm: &str| {
+            data_centre.is_none_or(|centre| {
                 fleet
                     .get(vm)
-                    .is_none_or(|entry| *entry.data_centre != *centre)
-            };
-            if data_centre.is_some_and(elsewhere) {
-                continue;
-            }
-            let peer = self.peers.get(vm);
-            let reported = peer.target.borrow().share(now);
-            if let Some((capacity, share)) = reported {
-                sum += capacity * share;
-                total += capacity;
-            }
-        }
-        (total > 0.0).then(|| sum / total)
+                    .is_some_and(|entry| *entry.data_centre == *centre)
+            })
+        };
+        let vms = fleet.ready(service);
+        Room::sum(
+            vms.iter()
+                .filter(|vm| within(vm))
+                .filter_map(|vm| self.peers.get(vm).target.borrow().room(now)),
+        )
     }
 
     /// What this daemon knows, for another one.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -409,7 +409,7 @@
         };
         for (vm, address) in vms {
             let peer = daemon.peers.get(&vm);
-            if vm != daemon.vm && !peer.is_connected() && !peer.target.borrow().is_ejected(now) {
+            if vm != daemon.vm && !peer.is_heard(now) && !peer.target.borrow().is_ejected(now) {
                 peer.ping(daemon, address);
             }
         }
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -271,7 +271,7 @@
 fn admit(daemon: &Daemon, route: &Route, service: &ServiceName, patience: Duration) -> Entry {
     let mut throttle = daemon.throttle.borrow_mut();
     throttle.decide(route, service, patience, |service| {
-        daemon.share_of(service, None).unwrap_or(1.0)
+        daemon.room_of(service, None)
     })
 }
 
@@ -390,7 +390,8 @@
         };
         let room = |centre: &str| {
             uses.iter()
-                .filter_map(|service| self.daemon.share_of(service, Some(centre)))
+                .filter_map(|service| self.daemon.room_of(service, Some(centre)))
+                .map(|room| room.share)
                 .fold(1.0, f64::min)
         };
         let targets: Vec<_> = peers.iter().map(|(_, peer)| peer.target.borrow()).collect();
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -45,6 +45,8 @@
     pub held_us: u32,
     /// Share of the elastic work that it can take, in thousandths.
     pub share: u16,
+    /// Part of the calls that the endpoint does not refuse, in thousandths.
+    pub accepted: u16,
 }
 
 impl From<Load> for placement::Load {
@@ -54,6 +56,7 @@
             limit: load.limit,
             held: Duration::from_micros(u64::from(load.held_us)),
             share: f64::from(load.share) / SHARE_UNIT,
+            accepted: f64::from(load.accepted) / SHARE_UNIT,
         }
     }
 }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -52,6 +52,9 @@
 /// Time between looks at the demand.
 const DEMAND_CHECK: Duration = Duration::from_millis(100);
 
+/// Weight of a new sample in the part of the calls that the endpoint does not refuse.
+const ACCEPTED_WEIGHT: f64 = 0.06;
+
 /// A share of one, in thousandths.
 const FULL_SHARE: u16 = SHARE_UNIT as u16;
 
@@ -206,6 +209,8 @@
     origins: RefCell<HashMap<String, Rc<Origin>>>,
     demand: RefCell<DemandMeter>,
     share: Cell<u16>,
+    /// Part of the calls that the endpoint does not refuse.
+    accepted: Cell<f64>,
     next: Cell<JobId>,
     waiting: Notify,
 }
@@ -225,6 +230,7 @@
             origins: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandMeter::new(now)),
             share: Cell::new(FULL_SHARE),
+            accepted: Cell::new(1.0),
             next: Cell::new(1),
             waiting: Notify::new(),
         }
@@ -265,6 +271,7 @@
             limit: lane.limit() as u32,
             held_us: lane.held().as_micros() as u32,
             share: self.share.get(),
+            accepted: (self.accepted.get() * SHARE_UNIT) as u16,
         }
     }
 
@@ -291,10 +298,12 @@
             drop(demand);
             let share = (share * SHARE_UNIT) as u16;
             self.share.set(share);
-            let news = share.abs_diff(told.0) >= SHARE_STEP;
-            let due = share < FULL_SHARE && now.saturating_duration_since(told.1) >= REPEAT_SHARE;
+            let accepted = self.load().accepted;
+            let room = share.min(accepted);
+            let news = room.abs_diff(told.0) >= SHARE_STEP;
+            let due = room < FULL_SHARE && now.saturating_duration_since(told.1) >= REPEAT_SHARE;
             if news || due {
-                told = (share, now);
+                told = (room, now);
                 daemon.watchers.notify(&Frame::Load(self.load()));
                 daemon
                     .peers
@@ -544,6 +553,10 @@
             }
         }
         drop(lane);
+        let refused = matches!(outcome, Outcome::NotRun(NotRun::Rejected));
+        let sample = if refused { 0.0 } else { 1.0 };
+        let mean = self.accepted.get();
+        self.accepted.set(mean + ACCEPTED_WEIGHT * (sample - mean));
         self.fill(daemon);
         match outcome {
             Outcome::NotRun(reason) => self.refuse(daemon, job, reason),
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -31,7 +31,7 @@
 const PONG_LIMIT: Duration = Duration::from_millis(500);
 
 /// Time since the last frame in which a gate counts as alive.
-const HEARD: Duration = Duration::from_secs(2);
+const HEARD: Duration = Duration::from_secs(1);
 
 /// Time between checks of all connections.
 const CHECK: Duration = Duration::from_millis(100);
@@ -104,13 +104,6 @@
         })
     }
 
-    /// Whether there is a connection, or one is being made.
-    #[must_use]
-    pub fn is_connected(&self) -> bool {
-        let link = self.link.borrow();
-        link.as_ref().is_some_and(|link| !link.outbox.is_closed())
-    }
-
     /// Sends a call; `None` when the connection takes no more.
     pub fn call(
         self: &Rc<Self>,
@@ -140,6 +133,9 @@
     pub fn ping(self: &Rc<Self>, daemon: &Rc<Daemon>, address: SocketAddr) {
         let link = self.link(daemon, address);
         link.outbox.push(&Frame::Ping, &[]);
+        if link.pinged.get().is_none() {
+            link.pinged.set(Some(daemon.clock.now()));
+        }
     }
 
     fn link(self: &Rc<Self>, daemon: &Rc<Daemon>, address: SocketAddr) -> Rc<Link> {
@@ -283,16 +279,14 @@
         let Some(link) = link.filter(|link| !link.outbox.is_closed()) else {
             return;
         };
-        if link.pending.borrow().is_empty() {
-            return;
-        }
         match link.pinged.get() {
             Some(asked) if now.saturating_duration_since(asked) >= PONG_LIMIT => {
                 link.outbox.close();
             }
             Some(_) => {}
             None => {
-                if now.saturating_duration_since(link.heard.get()) >= PING_AFTER {
+                let waits = !link.pending.borrow().is_empty();
+                if waits && now.saturating_duration_since(link.heard.get()) >= PING_AFTER {
                     link.outbox.push(&Frame::Ping, &[]);
                     link.pinged.set(Some(now));
                 }
