--- a/crates/sapphiredoor/src/cmd.rs
+++ b/crates/sapphiredoor/src/cmd.rs
@@ -45,6 +45,7 @@
         .subcommands([
             serve(),
             sidecar(),
+            trace(),
             rules(),
             members(),
             status(),
@@ -88,6 +89,29 @@
         ))
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Print the log lines of one call over several sidecar daemons, in order")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("Id of the call; its own calls are found as well"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of the daemons"),
+        )
+        .after_help(help(
+            "sapphiredoor trace 9c41d07be2a35f68 vm-1.log vm-2.log",
+            &[0, USAGE, OUTPUT],
+        ))
+}
+
 fn rules() -> Command {
     Command::new("rules")
         .about("Check, compare and change the rules")
--- a/crates/sapphiredoor/src/lib.rs
+++ b/crates/sapphiredoor/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod sidecar;
 pub mod status;
+pub mod trace;
 
 #[cfg(test)]
 mod tests;
@@ -60,6 +61,7 @@
     match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
         Some(("sidecar", matches)) => sidecar::run(matches, console),
+        Some(("trace", matches)) => trace::run(matches, console),
         Some(("rules", matches)) => rules::run(matches, console),
         Some(("members", matches)) => members::run(matches, console),
         Some(("status", matches)) => status::run(matches, console),
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -28,6 +28,9 @@
 use crate::peer::{Peer, Peers};
 use crate::settings::Settings;
 
+#[cfg(test)]
+mod tests;
+
 /// Time from the end of a daemon to its next start. The entry that it then writes ends the wait.
 const RESTART_TIME: Duration = Duration::from_secs(2);
 
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use adapter::store::{Commit, Event, LeaseId, StoreError, Write};
+use adapter::store::{Changes, Commit, Event, LeaseId, StoreError, Write};
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
@@ -17,6 +17,9 @@
 use crate::daemon::Daemon;
 use crate::peer;
 
+#[cfg(test)]
+mod tests;
+
 /// Prefix of the entries of VMs.
 const VM_PREFIX: &str = "sapphiredoor/vm/";
 
@@ -24,6 +27,10 @@
 /// notice earlier when it is silent.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// Pause between watches of the fleet. Entries change in series, and each answer of a watch is a call
+/// for every daemon; the news that matter at once come from the gates themselves.
+const GATHER: Duration = Duration::from_millis(400);
+
 /// Pause after a failed call, before a random part of as much again.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -56,6 +63,8 @@
     current: Cell<bool>,
     listed: Cell<bool>,
     wake: Notify,
+    /// Wakes the watches when the store is back.
+    back: Notify,
 }
 
 fn pause(daemon: &Daemon) -> Duration {
@@ -76,6 +85,24 @@
         if let Some(since) = self.away.take() {
             let away = daemon.clock.now().saturating_duration_since(since);
             info!(event = "store_regained", after_ms = away.as_millis() as u64; "");
+            self.back.notify_waiters();
+        }
+    }
+
+    /// Waits for changes. A watch that was sent while the store was away may never be answered, so it
+    /// is sent again when another call shows that the store is back.
+    async fn watch(
+        &self,
+        daemon: &Daemon,
+        prefix: &str,
+        after: Revision,
+    ) -> Result<Changes, StoreError> {
+        tokio::select! {
+            changes = daemon.store.watch(prefix, after, WATCH_WAIT) => changes,
+            () = self.back.notified() => Ok(Changes {
+                events: Vec::new(),
+                revision: after,
+            }),
         }
     }
 
@@ -116,10 +143,7 @@
         daemon: &Daemon,
         after: Revision,
     ) -> Result<Revision, StoreError> {
-        let changes = daemon
-            .store
-            .watch(CONFIGURATION_PREFIX, after, WATCH_WAIT)
-            .await?;
+        let changes = self.watch(daemon, CONFIGURATION_PREFIX, after).await?;
         for event in changes.events {
             match event {
                 Event::Written(item) if item.key == CONFIGURATION_KEY => {
@@ -174,6 +198,7 @@
         }
         self.listed.set(true);
         self.wake.notify_one();
+        tokio::time::sleep(GATHER).await;
         Ok(listing.revision)
     }
 
@@ -182,7 +207,7 @@
         daemon: &Rc<Daemon>,
         after: Revision,
     ) -> Result<Revision, StoreError> {
-        let changes = daemon.store.watch(VM_PREFIX, after, WATCH_WAIT).await?;
+        let changes = self.watch(daemon, VM_PREFIX, after).await?;
         for event in changes.events {
             match event {
                 Event::Written(item) => {
@@ -202,6 +227,7 @@
                 }
             }
         }
+        tokio::time::sleep(GATHER).await;
         Ok(changes.revision.max(after))
     }
 
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -311,6 +311,7 @@
             let (outcome, load) = sent.outcome(self.due.at + OUTCOME_SLACK).await;
             drop(sent);
             let now = self.daemon.clock.now();
+            self.log_attempt(now, &vm, &outcome, load);
             self.note(now, &vm, &outcome, load);
             match outcome {
                 Outcome::Answered(answer, body) => {
@@ -355,6 +356,19 @@
         Err(last)
     }
 
+    /// Tells why a gate did not answer the call.
+    fn log_attempt(&self, now: Instant, vm: &VmId, outcome: &Outcome, load: Load) {
+        let reason = match outcome {
+            Outcome::Answered(..) => return,
+            Outcome::NotRun(reason) => format!("{reason:?}"),
+            Outcome::Unknown(reason) => format!("{reason:?}"),
+        };
+        if self.daemon.journal.allows(now, "attempt_failed") {
+            let age = now.saturating_duration_since(self.arrived).as_millis() as u64;
+            info!(event = "attempt_failed", id = &*self.request.id, service = &*self.service, vm = &**vm, reason = &*reason, age_ms = age, calls = load.calls, limit = load.limit; "");
+        }
+    }
+
     fn may_repeat(&self, now: Instant, arrivals: u32) -> bool {
         if arrivals >= self.route.attempts {
             return false;
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -304,6 +304,10 @@
             let due = room < FULL_SHARE && now.saturating_duration_since(told.1) >= REPEAT_SHARE;
             if news || due {
                 told = (room, now);
+                if news && daemon.journal.allows(now, "room") {
+                    let load = self.load();
+                    info!(event = "room", share = load.share, accepted = load.accepted, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
+                }
                 daemon.watchers.notify(&Frame::Load(self.load()));
                 daemon
                     .peers
--- a/crates/sidecar/src/journal.rs
+++ b/crates/sidecar/src/journal.rs
@@ -18,8 +18,8 @@
 use logforth::record::Record;
 use logforth::{Diagnostic, Error};
 
-/// Lines of one event in a second. Failures of one second share few causes.
-const LINES_PER_SECOND: u32 = 10;
+/// Lines of one event in a second: 14 events give 560 lines and some 200 kB a second at most.
+const LINES_PER_SECOND: u32 = 40;
 
 /// Lines that wait for the writer.
 const MAX_WAITING: usize = 2_000;
--- a/crates/sidecar/src/outbox.rs
+++ b/crates/sidecar/src/outbox.rs
@@ -11,6 +11,9 @@
 
 use crate::frame::{Encoder, Frame};
 
+#[cfg(test)]
+mod tests;
+
 /// Bytes that may wait. A peer that does not read for so long is treated as failed.
 const MAX_WAITING: usize = 24 << 20;
 
@@ -98,14 +101,12 @@
             }
             let mut rest = bytes.as_slice();
             while !rest.is_empty() {
-                // The bytes count as gone before the write: it may succeed and never report back.
-                let before = self.0.written.get();
-                self.0.written.set(before + rest.len() as u64);
+                // A write that is dropped while it waits has taken no bytes, so none is missed here.
                 let count = writer.write(rest).await?;
                 if count == 0 {
                     return Err(std::io::ErrorKind::WriteZero.into());
                 }
-                self.0.written.set(before + count as u64);
+                self.0.written.set(self.0.written.get() + count as u64);
                 rest = &rest[count..];
             }
         }
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -35,9 +35,14 @@
 
 /// A daemon and its clock.
 pub(crate) fn daemon() -> (Rc<Daemon>, Arc<ManualClock>) {
+    let address = Settings::parse(SETTINGS).unwrap().store.address;
+    daemon_with(Store::new(address, Duration::from_secs(1)))
+}
+
+/// A daemon with a client of a store, and its clock.
+pub(crate) fn daemon_with(store: Store) -> (Rc<Daemon>, Arc<ManualClock>) {
     let settings = Settings::parse(SETTINGS).unwrap();
     let clock = Arc::new(ManualClock::new());
-    let store = Store::new(settings.store.address, Duration::from_secs(1));
     let time = Arc::clone(&clock);
     let daemon = Daemon::new(settings, time, store, Arc::new(AtomicU64::new(0)));
     (daemon, clock)
@@ -57,3 +62,9 @@
         sequence,
     }
 }
+
+/// A configuration without routes, as the operators write it.
+pub(crate) fn configuration(version: u64) -> bytes::Bytes {
+    let limits = adapter::configuration::EXAMPLE_LIMITS;
+    format!("{{\"Version\":{version},\"Routes\":{{}},\"Limits\":{limits}}}").into()
+}
