--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -83,6 +83,13 @@
 }
 
 impl Room {
+    /// Room where no endpoint can be reached.
+    pub const NONE: Self = Self {
+        capacity: 0.0,
+        share: 0.0,
+        accepted: 1.0,
+    };
+
     /// Room of several endpoints together; `None` of none.
     #[must_use]
     pub fn sum(rooms: impl Iterator<Item = Self>) -> Option<Self> {
@@ -188,18 +195,15 @@
         self.ejected.is_some_and(|until| now < until)
     }
 
-    /// What the endpoint can take, if its gate reported a load a short time ago or cannot be reached.
+    /// What the endpoint can take, if its gate reported a load a short time ago.
+    ///
+    /// An endpoint that is left out counts for nothing, because its calls show in the load of the
+    /// others.
     #[must_use]
     pub fn room(&self, now: Instant) -> Option<Room> {
         let reported = self.reported?;
-        if self.is_ejected(now) {
-            return Some(Room {
-                share: 0.0,
-                ..self.load.room()
-            });
-        }
         let fresh = now.saturating_duration_since(reported) < SHARE_AGE;
-        fresh.then(|| self.load.room())
+        (fresh && !self.is_ejected(now)).then(|| self.load.room())
     }
 
     /// Calls believed to run or wait there.
--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Candidate, EJECTION, Load, Sizes, Target, choose};
+use super::{Candidate, EJECTION, Load, Room, Sizes, Target, choose};
 use crate::id::VmId;
 use crate::traffic::{Repeat, Route};
 
@@ -165,3 +165,16 @@
     assert_eq!(pick(0.9), "near");
     assert_eq!(pick(0.3), "far");
 }
+
+#[test]
+fn an_endpoint_that_is_left_out_does_not_lower_the_room_of_the_others() {
+    let now = Instant::now();
+    let mut serving = Target::default();
+    let mut stopping = Target::default();
+    serving.report(now, load(5));
+    stopping.report(now, load(0));
+    stopping.leaves(now, MS * 8_000);
+    let rooms = [&serving, &stopping].map(|target| target.room(now));
+    let room = Room::sum(rooms.into_iter().flatten()).unwrap();
+    assert!((room.share - 1.0).abs() < f64::EPSILON, "{room:?}");
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -191,12 +191,18 @@
                     .is_some_and(|entry| *entry.data_centre == *centre)
             })
         };
-        let vms = fleet.ready(service);
-        Room::sum(
-            vms.iter()
-                .filter(|vm| within(vm))
-                .filter_map(|vm| self.peers.get(vm).target.borrow().room(now)),
-        )
+        let vms = fleet.ready(service).iter().filter(|vm| within(vm));
+        let peers: Vec<Rc<Peer>> = vms.map(|vm| self.peers.get(vm)).collect();
+        let room = Room::sum(
+            peers
+                .iter()
+                .filter_map(|peer| peer.target.borrow().room(now)),
+        );
+        let unreachable = || {
+            let mut targets = peers.iter().map(|peer| peer.target.borrow());
+            !peers.is_empty() && targets.all(|target| target.is_ejected(now))
+        };
+        room.or_else(|| unreachable().then_some(Room::NONE))
     }
 
     /// What this daemon knows, for another one.
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -322,15 +322,15 @@
     /// Takes a call; returns its number while it is not decided.
     pub fn submit(&self, daemon: &Rc<Daemon>, job: Job) -> Option<JobId> {
         let now = daemon.clock.now();
+        if let Some(reason) = self.refusal(daemon, now, &job) {
+            self.refuse(daemon, job, reason);
+            return None;
+        }
         let demanded = match job.call.share {
             None => Elastic::Urgent,
             Some(share) => Elastic::Share(f64::from(share) / SHARE_UNIT),
         };
         self.demand.borrow_mut().arrived(now, demanded);
-        if let Some(reason) = self.refusal(daemon, now, &job) {
-            self.refuse(daemon, job, reason);
-            return None;
-        }
         let id = self.next.get();
         self.next.set(id + 1);
         let idempotent = job.call.kind.idempotent;
