Share the accept loop and the loop that follows the store

Found by duplicates: three accept loops and two loops around watches stood twice. No change of behaviour; tests of sidecar, adapter, transport pass.

--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -112,6 +112,7 @@
     }
 
     /// Services that a route reaches through others.
+    #[must_use]
     pub fn uses(&self, route: &RouteName) -> Vec<ServiceName> {
         let state = self.routes.get(route);
         state
--- a/crates/sapphiredoor/src/trace/tests.rs
+++ b/crates/sapphiredoor/src/trace/tests.rs
@@ -20,9 +20,9 @@
     let mut steps = read(Path::new("a.log"), ENTRY, "7f");
     steps.extend(read(Path::new("b.log"), GATE, "7f"));
     steps.sort_by(|a, b| a.time.cmp(&b.time));
-    expect![[r#"
+    expect![[r"
         T2 b.log gate_refused 7f.81 left_ms=4 message=late
         T3 vm-a call_refused 7f reason=NotRun(Late) status=503
-    "#]]
+    "]]
     .assert_eq(&view(&steps));
 }
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -23,6 +23,7 @@
 
 use crate::daemon::Daemon;
 use crate::forward::{self, Reaction};
+use crate::listener::accept;
 
 /// Requests of one connection that are served at once.
 const MAX_PIPELINED: usize = 64;
@@ -37,9 +38,6 @@
 /// client has the last answer.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// Pause after a failed accept, for example when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Bounds before a configuration is known.
 const DEFAULT_LIMITS: Limits = Limits {
     head_bytes: 16 << 10,
@@ -50,18 +48,10 @@
 
 /// Accepts connections as long as the daemon runs.
 pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let owner = Rc::clone(&daemon);
-                tokio::task::spawn_local(async move { serve(owner, stream).await });
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "calls", error:% = error; "");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept(listener, "calls", |stream| {
+        tokio::task::spawn_local(serve(Rc::clone(&daemon), stream));
+    })
+    .await;
 }
 
 /// A request's answer before it is written.
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -13,6 +13,7 @@
 use transport::http1::{Collector, Message, Side};
 
 use crate::daemon::Daemon;
+use crate::listener::accept;
 
 /// Path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
@@ -23,9 +24,6 @@
 /// Time for which a connection may be idle.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
-/// Pause after a failed accept, for example when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What a listener is for.
 #[derive(Clone, Copy, Debug)]
 pub enum Purpose {
@@ -37,28 +35,30 @@
     Metrics,
 }
 
-/// Accepts connections as long as the daemon runs.
-pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener, purpose: Purpose) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let owner = Rc::clone(&daemon);
-                tokio::task::spawn_local(async move { serve(&owner, stream, purpose).await });
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener:? = purpose, error:% = error; "");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+impl Purpose {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Ready => "ready",
+            Self::Metrics => "metrics",
         }
     }
 }
 
-async fn serve(daemon: &Rc<Daemon>, mut stream: TcpStream, purpose: Purpose) {
+/// Accepts connections as long as the daemon runs.
+pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener, purpose: Purpose) {
+    accept(listener, purpose.name(), |stream| {
+        tokio::task::spawn_local(serve(Rc::clone(&daemon), stream, purpose));
+    })
+    .await;
+}
+
+async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream, purpose: Purpose) {
     let mut collector = Collector::new(Side::Requests, MAX_BYTES, MAX_BYTES);
     let mut buffer = BytesMut::new();
     loop {
         let (last, (status, body)) = match collector.take(&mut buffer) {
-            Ok(Some(message)) => (message.head.close, react(daemon, purpose, &message)),
+            Ok(Some(message)) => (message.head.close, react(&daemon, purpose, &message)),
             Ok(None) => {
                 let read = timeout(IDLE_TIME, stream.read_buf(&mut buffer)).await;
                 if !matches!(read, Ok(Ok(count)) if count > 0) {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -67,6 +67,24 @@
     back: Notify,
 }
 
+/// A part of the store that the daemon follows.
+#[derive(Clone, Copy, Debug)]
+pub enum Followed {
+    /// The operators' configuration.
+    Configuration,
+    /// The entries of VMs.
+    Fleet,
+}
+
+impl Followed {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Fleet => "fleet",
+        }
+    }
+}
+
 fn pause(daemon: &Daemon) -> Duration {
     FAILURE_PAUSE.mul_f64(1.0 + daemon.rng.borrow_mut().random::<f64>())
 }
@@ -106,13 +124,17 @@
         }
     }
 
-    /// Follows the operators' configuration as long as the daemon runs.
-    pub async fn follow_configuration(self: Rc<Self>, daemon: Rc<Daemon>) {
+    /// Follows a part of the store as long as the daemon runs.
+    pub async fn follow(self: Rc<Self>, daemon: Rc<Daemon>, part: Followed) {
         let mut revision = None;
         loop {
-            let result = match revision {
-                None => self.read_configuration(&daemon).await,
-                Some(after) => self.watch_configuration(&daemon, after).await,
+            let result = match (part, revision) {
+                (Followed::Configuration, None) => self.read_configuration(&daemon).await,
+                (Followed::Configuration, Some(after)) => {
+                    self.watch_configuration(&daemon, after).await
+                }
+                (Followed::Fleet, None) => self.read_fleet(&daemon).await,
+                (Followed::Fleet, Some(after)) => self.watch_fleet(&daemon, after).await,
             };
             match result {
                 Ok(next) => {
@@ -121,7 +143,7 @@
                 }
                 Err(StoreError::Compacted) => revision = None,
                 Err(error) => {
-                    self.failed(&daemon, "configuration", &error);
+                    self.failed(&daemon, part.name(), &error);
                     tokio::time::sleep(pause(&daemon)).await;
                 }
             }
@@ -155,28 +177,6 @@
         Ok(changes.revision.max(after))
     }
 
-    /// Follows the entries of VMs as long as the daemon runs.
-    pub async fn follow_fleet(self: Rc<Self>, daemon: Rc<Daemon>) {
-        let mut revision = None;
-        loop {
-            let result = match revision {
-                None => self.read_fleet(&daemon).await,
-                Some(after) => self.watch_fleet(&daemon, after).await,
-            };
-            match result {
-                Ok(next) => {
-                    self.answered(&daemon);
-                    revision = Some(next);
-                }
-                Err(StoreError::Compacted) => revision = None,
-                Err(error) => {
-                    self.failed(&daemon, "fleet", &error);
-                    tokio::time::sleep(pause(&daemon)).await;
-                }
-            }
-        }
-    }
-
     async fn read_fleet(&self, daemon: &Rc<Daemon>) -> Result<Revision, StoreError> {
         let listing = daemon.store.list(VM_PREFIX).await?;
         let mut vms = Vec::with_capacity(listing.items.len());
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -47,6 +47,11 @@
     receiver
 }
 
+fn announce(daemon: &Rc<Daemon>, instance: &str, born: u64, state: State) {
+    let announcement = announcement(instance, born, 1, state);
+    daemon.gate.announced(daemon, announcement);
+}
+
 fn refusal(receiver: &mut Outcomes) -> Option<NotRun> {
     match receiver.try_recv() {
         Ok((Outcome::NotRun(reason), _)) => Some(reason),
@@ -60,9 +65,7 @@
         .run_until(async {
             let (daemon, _) = daemon();
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Unknown));
-            daemon
-                .gate
-                .announced(&daemon, announcement("i-2", 2, 1, State::Ready));
+            announce(&daemon, "i-2", 2, State::Ready);
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Unknown));
             assert_eq!(refusal(&mut submit(&daemon, "i-2")), None);
         })
@@ -74,9 +77,7 @@
     LocalSet::new()
         .run_until(async {
             let (daemon, clock) = daemon();
-            daemon
-                .gate
-                .announced(&daemon, announcement("i-1", 1, 1, State::Draining));
+            announce(&daemon, "i-1", 1, State::Draining);
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), None);
             clock.advance(Duration::from_secs(1));
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Leaving));
@@ -89,9 +90,7 @@
     LocalSet::new()
         .run_until(async {
             let (daemon, clock) = daemon();
-            daemon
-                .gate
-                .announced(&daemon, announcement("i-1", 1, 1, State::Ready));
+            announce(&daemon, "i-1", 1, State::Ready);
             assert!(daemon.gate.departed(&daemon, "i-1", Some(1)));
             clock.advance(Duration::from_secs(1));
             daemon
@@ -107,9 +106,7 @@
     LocalSet::new()
         .run_until(async {
             let (daemon, clock) = daemon();
-            daemon
-                .gate
-                .announced(&daemon, announcement("i-1", 1, 1, State::Ready));
+            announce(&daemon, "i-1", 1, State::Ready);
             daemon.stop();
             clock.advance(Duration::from_millis(500));
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Leaving));
@@ -122,9 +119,7 @@
     LocalSet::new()
         .run_until(async {
             let (daemon, _) = daemon();
-            daemon
-                .gate
-                .announced(&daemon, announcement("i-1", 1, 1, State::Ready));
+            announce(&daemon, "i-1", 1, State::Ready);
             let _running = submit(&daemon, "i-1");
             let mut waiting = submit(&daemon, "i-1");
             daemon.gate.cancel(&daemon, 2);
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -13,11 +13,9 @@
 use crate::daemon::Daemon;
 use crate::frame::{BadFrame, Decoder, Frame, PROTOCOL, StreamId};
 use crate::gate::{Due, Job, JobId, Reply};
+use crate::listener::accept;
 use crate::outbox::Outbox;
 
-/// Pause after a failed accept, for example when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Calls of one connection after which the finished ones are forgotten.
 const PURGE_AT: usize = 1_024;
 
@@ -43,18 +41,10 @@
 
 /// Accepts connections of other daemons as long as the daemon runs.
 pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let owner = Rc::clone(&daemon);
-                tokio::task::spawn_local(async move { serve(owner, stream).await });
-            }
-            Err(error) => {
-                warn!(event = "accept_failed", listener = "peers", error:% = error; "");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept(listener, "peers", |stream| {
+        tokio::task::spawn_local(serve(Rc::clone(&daemon), stream));
+    })
+    .await;
 }
 
 struct Connection {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gate;
 pub mod inbound;
 pub mod journal;
+pub mod listener;
 pub mod meter;
 pub mod outbox;
 pub mod peer;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -16,7 +16,7 @@
 
 use crate::control::Purpose;
 use crate::daemon::Daemon;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, Followed};
 use crate::settings::Settings;
 use crate::{client, control, inbound, journal};
 
@@ -96,8 +96,8 @@
 
 fn spawn_tasks(daemon: &Rc<Daemon>) {
     let discovery = Rc::new(Discovery::default());
-    spawn_local(Rc::clone(&discovery).follow_configuration(Rc::clone(daemon)));
-    spawn_local(Rc::clone(&discovery).follow_fleet(Rc::clone(daemon)));
+    spawn_local(Rc::clone(&discovery).follow(Rc::clone(daemon), Followed::Configuration));
+    spawn_local(Rc::clone(&discovery).follow(Rc::clone(daemon), Followed::Fleet));
     spawn_local(Rc::clone(&discovery).keep_entry(Rc::clone(daemon)));
     spawn_local(discovery.attend(Rc::clone(daemon)));
     let owner = Rc::clone(daemon);
