Notice by the renewal of the lease that the store is back

Found while reading: a renewal that succeeded after an outage did not count as an answer of the store, so watches that were sent in the outage were sent again only if another call happened to succeed. The test fails without the change (the renewal was not a function of its own).

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -304,14 +304,10 @@
             }
             let due = daemon.clock.now().saturating_duration_since(renewed) >= RENEW_EVERY;
             if let Some(id) = lease.filter(|_| due) {
-                match daemon.store.renew_lease(id).await {
-                    Ok(true) => renewed = daemon.clock.now(),
-                    Ok(false) => {
-                        info!(event = "lease_ended", lease = id; "opening another one");
-                        lease = None;
-                        self.own_entry_lost(None);
-                    }
-                    Err(error) => self.failed(&daemon, "lease", &error),
+                match self.renew(&daemon, id).await {
+                    Some(true) => renewed = daemon.clock.now(),
+                    Some(false) => lease = None,
+                    None => {}
                 }
             }
             if self.current.get() && lease.is_some() {
@@ -328,6 +324,26 @@
         }
     }
 
+    /// Renews the lease; returns whether it lives, or `None` when the store does not tell.
+    ///
+    /// The renewal is the only regular call, so it also notices that the store is back.
+    async fn renew(&self, daemon: &Daemon, lease: LeaseId) -> Option<bool> {
+        match daemon.store.renew_lease(lease).await {
+            Ok(lives) => {
+                self.answered(daemon);
+                if !lives {
+                    info!(event = "lease_ended", lease = lease; "opening another one");
+                    self.own_entry_lost(None);
+                }
+                Some(lives)
+            }
+            Err(error) => {
+                self.failed(daemon, "lease", &error);
+                None
+            }
+        }
+    }
+
     async fn write_entry(
         &self,
         daemon: &Rc<Daemon>,
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -7,6 +7,7 @@
 
 use adapter::store::{Store, StoreError};
 use policy::fleet::{State, VmEntry};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -86,3 +87,25 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn a_renewed_lease_shows_that_the_store_is_back() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let store = Store::new(listener.local_addr().unwrap(), Duration::from_secs(10));
+            let (daemon, _) = daemon_with(store);
+            let discovery = Discovery::default();
+            discovery.failed(&daemon, "lease", &StoreError::Unanswered(String::new()));
+            tokio::task::spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = [0; 1_024];
+                let _ = stream.read(&mut request).await.unwrap();
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+                stream.write_all(answer).await.unwrap();
+            });
+            assert_eq!(discovery.renew(&daemon, 1).await, Some(true));
+            assert_eq!(discovery.away.get(), None);
+        })
+        .await;
+}
