Take only calls that end before a stopping daemon does

Calls whose deadline lies after the end are refused as not run.

The test fails without the change. Also: a setting without effect is gone, and tests share their calls.

--- a/crates/sapphiredoor/src/tests.rs
+++ b/crates/sapphiredoor/src/tests.rs
@@ -46,6 +46,7 @@
         "docs/operators.md",
         "docs/callers.md",
         "docs/rules.md",
+        "docs/OPERATIONS.md",
         "README.md",
     ];
     let pages =
@@ -69,6 +70,7 @@
         "rules check",
         "rules diff",
         "settings check",
+        "sidecar --check",
         "completions",
         "--help",
     ];
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -34,9 +34,9 @@
 /// Time from the end of a daemon to its next start. The entry that it then writes ends the wait.
 const RESTART_TIME: Duration = Duration::from_secs(2);
 
-/// Part of the grace time after which a stopping daemon takes no more calls: the rest is for the
-/// calls that it has.
-const LAST_CALL_SHARE: f64 = 0.75;
+/// Part of the grace time after which the process ends. The rest covers the last batch of the log on a
+/// busy VM.
+const END_SHARE: f64 = 0.9;
 
 /// A configuration as the operators wrote it.
 #[derive(Debug)]
@@ -294,16 +294,17 @@
             .map(|since| now.saturating_duration_since(since))
     }
 
-    /// Whether the end is too near to take another call.
+    /// When the process ends at the latest; `None` while the daemon runs on.
     #[must_use]
-    pub fn is_closing(&self) -> bool {
-        let last = self
-            .settings
-            .borrow()
-            .bounds
-            .grace()
-            .mul_f64(LAST_CALL_SHARE);
-        self.closing.get() || self.stopping_for().is_some_and(|time| time >= last)
+    pub fn end(&self) -> Option<Instant> {
+        let time = self.settings.borrow().bounds.grace().mul_f64(END_SHARE);
+        self.stopping.get().map(|since| since + time)
+    }
+
+    /// Whether a call that may last until a deadline would outlive the process.
+    #[must_use]
+    pub fn is_closing(&self, due: Instant) -> bool {
+        self.closing.get() || self.end().is_some_and(|end| due > end)
     }
 
     /// Refuses all further calls: the process is about to end.
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -44,7 +44,7 @@
     NoRoute,
     /// A service below has no room for the calls that it would make.
     Throttled,
-    /// This daemon is about to end.
+    /// This daemon ends before the call would.
     Closing,
     /// No endpoint of the service is known.
     NoEndpoint,
@@ -166,14 +166,14 @@
     let Some(route) = adopted.route(&request.host, request.path()).cloned() else {
         return refuse(daemon, arrived, &request, None, Refusal::NoRoute);
     };
-    if daemon.is_closing() {
-        return refuse(daemon, arrived, &request, Some(&route), Refusal::Closing);
-    }
     let patience = patience_of(&request, &route).min(route.timeout);
     let due = Due {
         at: arrived + patience,
         boot: daemon.clock.boot() + patience,
     };
+    if daemon.is_closing(due.at) {
+        return refuse(daemon, arrived, &request, Some(&route), Refusal::Closing);
+    }
     let service = daemon.splitter.borrow_mut().next(&route);
     let Some(service) = service else {
         return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
--- a/crates/sidecar/src/forward/tests.rs
+++ b/crates/sidecar/src/forward/tests.rs
@@ -1,5 +1,5 @@
 //! Guards against repeats that are paid for by calls of endpoints, which the operators' bound does not
-//! count.
+//! count, and against calls that a stopping daemon takes and cannot finish.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,14 +8,11 @@
 use bytes::Bytes;
 use policy::fleet::State;
 use policy::repeat::Bound;
-use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 use super::{Reaction, Refusal, serve};
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, CallKind};
-use crate::gate::{Due, Job, Reply};
-use crate::testing::{announcement, configuration, daemon};
+use crate::testing::{announcement, configuration, daemon, job};
 
 /// A bound under which one call of a client earns a repeat, and nothing else does.
 const BOUND: Bound = Bound {
@@ -41,32 +38,7 @@
     daemon
         .gate
         .announced(daemon, announcement("i-1", 1, 1, State::Ready));
-    let left = Duration::from_secs(5);
-    let (sender, _) = oneshot::channel();
-    let job = Job {
-        call: CallHead {
-            id: id.to_owned(),
-            left_us: 5_000_000,
-            share: Some(1_000),
-            target: "/".to_owned(),
-            kind: CallKind {
-                instance: "i-1".to_owned(),
-                caller: "vitrina".to_owned(),
-                route: "r".to_owned(),
-                rank: 1,
-                idempotent: true,
-                deep: false,
-                method: "GET".to_owned(),
-                fields: Vec::new(),
-            },
-        },
-        body: Bytes::new(),
-        due: Due {
-            at: daemon.clock.now() + left,
-            boot: daemon.clock.boot() + left,
-        },
-        reply: Reply::Local(sender),
-    };
+    let (job, _) = job(daemon, id, "i-1");
     daemon.gate.submit(daemon, job);
 }
 
@@ -115,3 +87,28 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn a_stopping_daemon_takes_only_calls_that_end_before_it() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, clock) = daemon();
+            daemon.adopt(configuration(1), 1);
+            daemon.stop();
+            // The grace time is 6 s and the time-out of the route 1.2 s.
+            clock.advance(Duration::from_secs(3));
+            let early = serve(&daemon, request("1a")).await;
+            assert_eq!(refusal(&early), Refusal::NoEndpoint);
+            clock.advance(Duration::from_millis(1_300));
+            let late = serve(&daemon, request("2b")).await;
+            assert_eq!(refusal(&late), Refusal::Closing);
+        })
+        .await;
+}
+
+fn refusal(reaction: &Reaction) -> Refusal {
+    match reaction {
+        Reaction::Refused { refusal, .. } => *refusal,
+        Reaction::Answer { .. } => panic!("there is no endpoint"),
+    }
+}
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -4,47 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use policy::fleet::State;
-use tokio::sync::oneshot::{self, Receiver};
 use tokio::task::LocalSet;
 
-use super::{Due, Job, Outcome, Reply};
+use super::Outcome;
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, CallKind, Load, NotRun};
-use crate::testing::{announcement, daemon};
-
-type Outcomes = Receiver<(Outcome, Load)>;
+use crate::frame::NotRun;
+use crate::testing::{Outcomes, announcement, daemon, job};
 
 fn submit(daemon: &Rc<Daemon>, instance: &str) -> Outcomes {
-    let (sender, receiver) = oneshot::channel();
-    let left = Duration::from_secs(1);
-    let job = Job {
-        call: CallHead {
-            id: "a".to_owned(),
-            left_us: 1_000_000,
-            share: Some(1_000),
-            target: "/".to_owned(),
-            kind: CallKind {
-                instance: instance.to_owned(),
-                caller: "vitrina".to_owned(),
-                route: "r".to_owned(),
-                rank: 1,
-                idempotent: false,
-                deep: false,
-                method: "POST".to_owned(),
-                fields: Vec::new(),
-            },
-        },
-        body: Bytes::new(),
-        due: Due {
-            at: daemon.clock.now() + left,
-            boot: daemon.clock.boot() + left,
-        },
-        reply: Reply::Local(sender),
-    };
+    let (job, outcomes) = job(daemon, "a", instance);
     daemon.gate.submit(daemon, job);
-    receiver
+    outcomes
 }
 
 fn announce(daemon: &Rc<Daemon>, instance: &str, born: u64, state: State) {
--- a/crates/sidecar/src/peer/tests.rs
+++ b/crates/sidecar/src/peer/tests.rs
@@ -12,28 +12,9 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-use crate::frame::{CallHead, CallKind, NotRun, Unknown};
+use crate::frame::{NotRun, Unknown};
 use crate::gate::Outcome;
-use crate::testing::{RuntimeClock, daemon_at};
-
-fn call() -> CallHead {
-    CallHead {
-        id: "a".to_owned(),
-        left_us: 5_000_000,
-        share: None,
-        target: "/".to_owned(),
-        kind: CallKind {
-            instance: "i-2".to_owned(),
-            caller: "despacho".to_owned(),
-            route: "r".to_owned(),
-            rank: 1,
-            idempotent: false,
-            deep: false,
-            method: "POST".to_owned(),
-            fields: Vec::new(),
-        },
-    }
-}
+use crate::testing::{RuntimeClock, call, daemon_at};
 
 /// Outcome of a call to another VM.
 async fn outcome(address: SocketAddr) -> Outcome {
@@ -42,7 +23,12 @@
     spawn_local(async move { owner.peers.check(&owner).await });
     let peer = daemon.peers.get(&"vm-2".into());
     let mut sent = peer
-        .call(&daemon, address, call(), &Bytes::from_static(b"body"))
+        .call(
+            &daemon,
+            address,
+            call("a", "i-2"),
+            &Bytes::from_static(b"body"),
+        )
         .unwrap();
     (&mut sent.receiver).await.unwrap().0
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -30,10 +30,6 @@
 /// Time after SIGTERM in which clients learn that this daemon is no longer ready.
 const FAREWELL: Duration = Duration::from_millis(3_200);
 
-/// Part of the grace time after which the daemon ends with calls still open. The rest covers the last
-/// batch of the log on a busy VM.
-const GRACE_SHARE: f64 = 0.9;
-
 /// Time between looks whether calls are open at the end.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
@@ -123,9 +119,10 @@
     let grace = daemon.settings.borrow().bounds.grace();
     loop {
         tokio::time::sleep(STOP_CHECK).await;
-        let passed = daemon.clock.now().saturating_duration_since(start);
+        let now = daemon.clock.now();
+        let passed = now.saturating_duration_since(start);
         let idle = daemon.open_calls() == 0 && passed >= FAREWELL.min(grace / 2);
-        if idle || passed >= grace.mul_f64(GRACE_SHARE) {
+        if idle || daemon.end().is_some_and(|end| now >= end) {
             break;
         }
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -33,8 +33,6 @@
     pub store: StoreSettings,
     /// Bounds that the operators set.
     pub bounds: BoundSettings,
-    /// Memory that the daemon may use, in megabytes.
-    pub memory_mb: u64,
 }
 
 /// Endpoint beside the daemon.
@@ -193,7 +191,6 @@
             ("bounds.grace_s", self.bounds.grace_s),
             ("bounds.repeat_window_s", self.bounds.repeat_window_s),
             ("endpoint.heartbeat_ms", self.endpoint.heartbeat_ms as f64),
-            ("memory_mb", self.memory_mb as f64),
         ]);
         for (field, value) in numbers {
             if !(value > 0.0 && value.is_finite()) {
--- a/crates/sidecar/src/settings/tests.rs
+++ b/crates/sidecar/src/settings/tests.rs
@@ -22,6 +22,6 @@
         .assert_eq(&error(&GOOD.replace("\"grace_s\": 6", "\"grace_s\": 0")));
     expect!["the settings have a wrong field: .: missing field `vm`"]
         .assert_eq(&error(&GOOD.replace("\"vm\": \"vm-1\",", "")));
-    expect!["the settings have a wrong field: colour: unknown field `colour`, expected one of `vm`, `data_centre`, `endpoint`, `listen`, `seeds`, `store`, `bounds`, `memory_mb`"]
+    expect!["the settings have a wrong field: colour: unknown field `colour`, expected one of `vm`, `data_centre`, `endpoint`, `listen`, `seeds`, `store`, `bounds`"]
         .assert_eq(&error(&GOOD.replace("\"vm\":", "\"colour\": 1, \"vm\":")));
 }
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -10,10 +10,16 @@
 use bytes::Bytes;
 use policy::clock::{Clock, ManualClock};
 use policy::fleet::{Announcement, State};
+use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
+use crate::frame::{CallHead, CallKind, Load};
+use crate::gate::{Due, Job, Outcome, Reply};
 use crate::settings::Settings;
 
+/// Where the outcome of a call goes.
+pub(crate) type Outcomes = oneshot::Receiver<(Outcome, Load)>;
+
 /// Settings of a daemon beside an endpoint of `despacho`.
 pub(crate) const SETTINGS: &str = r#"
 // Comments are allowed.
@@ -30,8 +36,7 @@
   "bounds": {
     "drain_ms": 2000, "grace_s": 6, "repeat_ratio": 0.2, "repeat_slack": 48,
     "repeat_window_s": 10
-  },
-  "memory_mb": 260
+  }
 }
 "#;
 
@@ -100,3 +105,39 @@
         now.saturating_duration_since(*START.get_or_init(|| now))
     }
 }
+
+/// A call that must not run twice, to an instance.
+pub(crate) fn call(id: &str, instance: &str) -> CallHead {
+    CallHead {
+        id: id.to_owned(),
+        left_us: 5_000_000,
+        share: Some(1_000),
+        target: "/".to_owned(),
+        kind: CallKind {
+            instance: instance.to_owned(),
+            caller: "vitrina".to_owned(),
+            route: "r".to_owned(),
+            rank: 1,
+            idempotent: false,
+            deep: false,
+            method: "POST".to_owned(),
+            fields: Vec::new(),
+        },
+    }
+}
+
+/// A call as the gate of a daemon takes it, and where its outcome goes.
+pub(crate) fn job(daemon: &Daemon, id: &str, instance: &str) -> (Job, Outcomes) {
+    let (sender, receiver) = oneshot::channel();
+    let left = Duration::from_secs(1);
+    let job = Job {
+        call: call(id, instance),
+        body: Bytes::new(),
+        due: Due {
+            at: daemon.clock.now() + left,
+            boot: daemon.clock.boot() + left,
+        },
+        reply: Reply::Local(sender),
+    };
+    (job, receiver)
+}
