--- a/crates/sidecar/src/journal.rs
+++ b/crates/sidecar/src/journal.rs
@@ -21,7 +21,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Lines of one event in a second: 14 events give 560 lines and some 200 kB a second at most.
+/// Lines of one event in a second. Ten events are bounded so: 400 lines, some 150 kB, at most.
 const LINES_PER_SECOND: u32 = 40;
 
 /// Lines that wait for the writer.
