Add a soak that runs real daemons under random faults

A plan drawn from a seed stops, pauses and kills processes, harms links, the store and endpoints; the ledger checks runs, refusals, answers, time-outs, repeats, leaving endpoints, ends of processes, configurations and the return of service from what clients and endpoints saw. listen.announced lets other daemons reach a daemon through a proxy.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -234,9 +234,11 @@
     #[must_use]
     pub fn entry(&self) -> Option<VmEntry> {
         let endpoint = self.gate.announcement()?;
+        let settings = self.settings.borrow();
+        let listen = &settings.listen;
         Some(VmEntry {
             vm: VmId::clone(&self.vm),
-            peer: self.settings.borrow().listen.peers,
+            peer: listen.announced.unwrap_or(listen.peers),
             data_centre: DataCentreName::clone(&self.data_centre),
             endpoint,
         })
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -57,6 +57,9 @@
     pub calls: SocketAddr,
     /// Calls of other daemons.
     pub peers: SocketAddr,
+    /// Address at which other daemons reach `peers`, when it is another one.
+    #[serde(default)]
+    pub announced: Option<SocketAddr>,
     /// Questions whether the daemon is ready.
     pub ready: SocketAddr,
     /// Announcements of the endpoint.
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,219 @@
+//! Faults of a run, drawn from its seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::ledger::VmIndex;
+use crate::{endpoint, proxy, store};
+
+#[cfg(test)]
+mod tests;
+
+/// Mean time between two faults.
+const EVERY: Duration = Duration::from_millis(600);
+
+/// Shortest and longest fault in milliseconds.
+const LENGTH_MS: (u64, u64) = (200, 4_000);
+
+/// Link of a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// To the store.
+    Store,
+    /// From other daemons.
+    Peers,
+    /// To the endpoint.
+    Endpoint,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// A daemon is stopped with SIGTERM and started again.
+    Stop(VmIndex),
+    /// A daemon is killed and started again.
+    Kill(VmIndex),
+    /// All daemons are killed and started again.
+    KillAll,
+    /// A daemon is paused.
+    Pause(VmIndex, Duration),
+    /// A daemon gets SIGHUP, with changed settings or the same.
+    Hangup(VmIndex, bool),
+    /// The operators write a configuration.
+    Configure,
+    /// Clients send this many times as much.
+    Burst(f64, Duration),
+    /// The store is in trouble for one VM or for all.
+    Store(Option<VmIndex>, store::Fault, Duration),
+    /// The clock of the leases stands still.
+    PauseLeases(Duration),
+    /// All leases end.
+    Revoke,
+    /// The store forgets its history.
+    Compact,
+    /// A link is harmed.
+    Link(VmIndex, Link, proxy::Fault, Duration),
+    /// An endpoint crashes and another one starts.
+    Crash(VmIndex),
+    /// An endpoint is replaced in order.
+    Replace(VmIndex),
+    /// An endpoint is in trouble.
+    Endpoint(VmIndex, endpoint::Fault, Duration),
+}
+
+/// Kinds of trouble of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Family {
+    /// Planned work only: no call may be lost.
+    Planned,
+    /// Processes.
+    Processes,
+    /// Links.
+    Links,
+    /// Store.
+    Store,
+    /// Endpoints.
+    Endpoints,
+    /// Everything.
+    All,
+}
+
+impl Family {
+    const ALL: [Self; 6] = [
+        Self::Planned,
+        Self::Processes,
+        Self::Links,
+        Self::Store,
+        Self::Endpoints,
+        Self::All,
+    ];
+
+    /// Family of a seed.
+    #[must_use]
+    pub fn of(seed: u64) -> Self {
+        Self::ALL[(seed % Self::ALL.len() as u64) as usize]
+    }
+}
+
+impl fmt::Display for Family {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+struct Draw {
+    rng: SmallRng,
+    vms: usize,
+}
+
+impl Draw {
+    fn vm(&mut self) -> VmIndex {
+        self.rng.random_range(0..self.vms)
+    }
+
+    fn time(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(LENGTH_MS.0..LENGTH_MS.1))
+    }
+
+    fn one<T: Copy>(&mut self, choices: &[T]) -> T {
+        choices[self.rng.random_range(0..choices.len())]
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(20..600))
+    }
+
+    fn action(&mut self, family: Family) -> Action {
+        let family = match family {
+            Family::All => self.one(&Family::ALL[..5]),
+            family => family,
+        };
+        match family {
+            Family::Planned | Family::All => self.planned(),
+            Family::Processes => match self.rng.random_range(0..8) {
+                0..3 => Action::Kill(self.vm()),
+                3..6 => Action::Pause(self.vm(), self.time()),
+                6 => Action::KillAll,
+                _ => self.planned(),
+            },
+            Family::Links => {
+                let fault = match self.rng.random_range(0..5) {
+                    0 => proxy::Fault::Delayed(self.delay()),
+                    1 => proxy::Fault::Reset,
+                    2 => proxy::Fault::CutForward,
+                    3 => proxy::Fault::CutBackward,
+                    _ => proxy::Fault::Silent,
+                };
+                let link = self.one(&[Link::Store, Link::Peers, Link::Endpoint]);
+                Action::Link(self.vm(), link, fault, self.time())
+            }
+            Family::Store => match self.rng.random_range(0..10) {
+                0 => Action::Revoke,
+                1 => Action::Compact,
+                2 => Action::PauseLeases(self.time()),
+                3 => self.planned(),
+                _ => {
+                    let vm = self.rng.random_bool(0.5).then(|| self.vm());
+                    let fault = match self.rng.random_range(0..5) {
+                        0 => store::Fault::Slow(self.delay()),
+                        1 => store::Fault::Refusing(503),
+                        2 => store::Fault::Refusing(429),
+                        3 => store::Fault::Deaf(self.delay()),
+                        _ => store::Fault::Down,
+                    };
+                    Action::Store(vm, fault, self.time())
+                }
+            },
+            Family::Endpoints => match self.rng.random_range(0..10) {
+                0 | 1 => Action::Crash(self.vm()),
+                2 => Action::Replace(self.vm()),
+                _ => {
+                    let fault = self.one(&[
+                        endpoint::Fault::Slow,
+                        endpoint::Fault::Refusing,
+                        endpoint::Fault::Closing,
+                        endpoint::Fault::Short,
+                        endpoint::Fault::Garbled,
+                        endpoint::Fault::Unsigned,
+                        endpoint::Fault::Doubled,
+                        endpoint::Fault::Silent,
+                    ]);
+                    Action::Endpoint(self.vm(), fault, self.time())
+                }
+            },
+        }
+    }
+
+    fn planned(&mut self) -> Action {
+        match self.rng.random_range(0..6) {
+            0 | 1 => Action::Stop(self.vm()),
+            2 => Action::Hangup(self.vm(), self.rng.random_bool(0.5)),
+            3 => Action::Configure,
+            4 => Action::Replace(self.vm()),
+            _ => Action::Burst(self.rng.random_range(2.0..8.0), self.time()),
+        }
+    }
+}
+
+/// Draws the faults of a run and their times from its start; the same seed gives the same plan.
+#[must_use]
+pub fn draw(seed: u64, vms: usize, time: Duration) -> Vec<(Duration, Action)> {
+    let mut draw = Draw {
+        rng: SmallRng::seed_from_u64(seed),
+        vms,
+    };
+    let family = Family::of(seed);
+    let mut plan = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let toss: f64 = draw.rng.random_range(1e-6..1.0);
+        at += EVERY.mul_f64(-toss.ln());
+        if at >= time {
+            return plan;
+        }
+        plan.push((at, draw.action(family)));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan/tests.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use super::{Action, Family, draw};
+
+const TIME: Duration = Duration::from_mins(1);
+
+/// Guards against seeds that cannot be played again.
+#[test]
+fn a_seed_gives_one_plan() {
+    for seed in 0..12 {
+        assert_eq!(draw(seed, 6, TIME), draw(seed, 6, TIME));
+    }
+    assert_ne!(draw(0, 6, TIME), draw(6, 6, TIME));
+}
+
+/// Guards against faults in runs that show that planned work loses nothing.
+#[test]
+fn planned_runs_have_no_faults() {
+    let seed = 6;
+    assert_eq!(Family::of(seed), Family::Planned);
+    let plan = draw(seed, 6, TIME);
+    assert!(plan.len() > 50);
+    let planned = |action: &Action| {
+        matches!(
+            action,
+            Action::Stop(_)
+                | Action::Hangup(..)
+                | Action::Configure
+                | Action::Replace(_)
+                | Action::Burst(..)
+        )
+    };
+    assert!(plan.iter().all(|(_, action)| planned(action)));
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,161 @@
+//! Loopback proxies that harm connections.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::Notify;
+
+use crate::server::{self, Tasks};
+
+#[cfg(test)]
+mod tests;
+
+/// Bytes that are passed on at once.
+const PART: usize = 16 << 10;
+
+/// What is done to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Bytes arrive late in both directions.
+    Delayed(Duration),
+    /// Open and new connections are reset.
+    Reset,
+    /// Nothing arrives at the server.
+    CutForward,
+    /// Nothing arrives at the client.
+    CutBackward,
+    /// Nothing arrives in either direction, and no connection ends.
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Forward,
+    Backward,
+}
+
+impl Fault {
+    fn cuts(self, direction: Direction) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::CutForward => direction == Direction::Forward,
+            Self::CutBackward => direction == Direction::Backward,
+            Self::Delayed(_) | Self::Reset => false,
+        }
+    }
+}
+
+/// A proxy between clients and one server.
+#[derive(Debug)]
+pub struct Proxy {
+    server: SocketAddr,
+    fault: Cell<Option<Fault>>,
+    changed: Notify,
+}
+
+impl Proxy {
+    /// Starts a proxy that listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use.
+    pub fn start(address: SocketAddr, server: SocketAddr, tasks: &Tasks) -> io::Result<Rc<Self>> {
+        let listener = server::bind(address)?;
+        let proxy = Rc::new(Self {
+            server,
+            fault: Cell::new(None),
+            changed: Notify::new(),
+        });
+        let owner = Rc::clone(&proxy);
+        let group = tasks.clone();
+        tasks.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                group.spawn(Rc::clone(&owner).pass(stream));
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Sets the fault of all connections.
+    pub fn set_fault(&self, fault: Option<Fault>) {
+        self.fault.set(fault);
+        self.changed.notify_waiters();
+    }
+
+    async fn pass(self: Rc<Self>, mut client: TcpStream) {
+        if self.fault.get() == Some(Fault::Reset) {
+            return server::reset(client);
+        }
+        // A server that is not there closes the connection, as without a proxy.
+        let Ok(mut server) = TcpStream::connect(self.server).await else {
+            return;
+        };
+        if client.set_nodelay(true).is_err() || server.set_nodelay(true).is_err() {
+            return;
+        }
+        let (client_in, client_out) = client.split();
+        let (server_in, server_out) = server.split();
+        let both = async {
+            tokio::try_join!(
+                self.copy(client_in, server_out, Direction::Forward),
+                self.copy(server_in, client_out, Direction::Backward),
+            )
+        };
+        let ended = tokio::select! {
+            result = both => result.is_ok(),
+            () = self.reset() => false,
+        };
+        if !ended {
+            server::reset(client);
+            server::reset(server);
+        }
+    }
+
+    async fn reset(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.fault.get() == Some(Fault::Reset) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Passes on what arrives until its sender ends.
+    async fn copy(
+        &self,
+        mut from: ReadHalf<'_>,
+        mut to: WriteHalf<'_>,
+        direction: Direction,
+    ) -> io::Result<()> {
+        let mut part = vec![0; PART];
+        loop {
+            let count = from.read(&mut part).await?;
+            self.hold(direction).await;
+            if count == 0 {
+                return to.shutdown().await;
+            }
+            to.write_all(&part[..count]).await?;
+        }
+    }
+
+    /// Waits as long as the fault keeps bytes back.
+    async fn hold(&self, direction: Direction) {
+        if let Some(Fault::Delayed(time)) = self.fault.get() {
+            tokio::time::sleep(time).await;
+        }
+        loop {
+            let changed = self.changed.notified();
+            if !self.fault.get().is_some_and(|fault| fault.cuts(direction)) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,431 @@
+//! One run of the soak.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use adapter::standin;
+use futures::future::join_all;
+use rustix::process::Signal;
+use tokio::task::LocalSet;
+
+use crate::client;
+use crate::ledger::{Ledger, Promise, Trouble, Violation};
+use crate::plan::{self, Action, Family, Link};
+use crate::server::Tasks;
+use crate::store::Store;
+use crate::vm::{BUDGET, DRAIN, GRACE, Site, Vm};
+
+/// Requests a second of the clients on one VM.
+const RATE: f64 = 20.0;
+
+/// Time in which all daemons must be ready after their start.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time of load whose goodput is compared, before the faults and after them.
+const MEASURED: Duration = Duration::from_secs(4);
+
+/// Time between looks at the processes and at the configurations in force.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Longest fault or planned work that an action starts, for its disturbance.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// Longest pause before an ended daemon or endpoint starts again.
+const RESTART: Duration = Duration::from_millis(700);
+
+/// What a run does.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// Directory of settings and logs; it must exist.
+    pub directory: PathBuf,
+    /// Seed of the plan.
+    pub seed: u64,
+    /// VMs, at most 200.
+    pub vms: usize,
+    /// Time of faults.
+    pub faults: Duration,
+    /// Time after the faults in which service must be back.
+    pub settle: Duration,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// Requests sent.
+    pub requests: usize,
+    /// Faults injected.
+    pub faults: usize,
+    /// Parts served before the faults, during them and after them.
+    pub served: [f64; 3],
+}
+
+struct Run {
+    vms: Vec<Rc<Vm>>,
+    site: Site,
+    version: Cell<u64>,
+    probes: Cell<u64>,
+}
+
+/// Plays one run on a thread of its own.
+///
+/// # Errors
+///
+/// Fails when a stand-in or a daemon cannot be started, or no daemon gets ready.
+pub fn play(options: &Options) -> io::Result<Outcome> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = Tasks::default();
+    let group = tasks.clone();
+    let result = LocalSet::new().block_on(&runtime, async move { run(options, group).await });
+    tasks.abort();
+    result
+}
+
+async fn run(options: &Options, tasks: Tasks) -> io::Result<Outcome> {
+    let process = std::process::id();
+    let store = Rc::new(Store::default());
+    let ledger = Rc::new(RefCell::new(Ledger::default()));
+    let site = Site {
+        program: options.program.clone(),
+        directory: options.directory.clone(),
+        store: Rc::clone(&store),
+        ledger: Rc::clone(&ledger),
+        tasks: tasks.clone(),
+        // Runs of several processes at once must not share addresses; 127.0 and 127.1 stay free.
+        network: (2 + (process >> 8) as u8 % 250, process as u8),
+        vms: options.vms,
+        seed: options.seed,
+    };
+    tasks.spawn(Rc::clone(&store).expire());
+    store.configure(standin::encode_configuration(1, &client::routes(1)));
+    let mut vms = Vec::new();
+    for index in 0..options.vms {
+        let vm = Vm::new(&site, index, options.seed ^ index as u64)?;
+        vm.write_settings(0)?;
+        vm.start()?;
+        vm.start_endpoint()?;
+        vms.push(vm);
+    }
+    let run = Rc::new(Run {
+        vms,
+        site,
+        version: Cell::new(1),
+        probes: Cell::new(0),
+    });
+    run.await_ready().await?;
+    let owner = Rc::clone(&run);
+    tasks.spawn(async move { owner.look().await });
+    for vm in &run.vms {
+        tasks.spawn(Rc::clone(&run).follow_configuration(Rc::clone(vm)));
+    }
+    run.set_rate(1.0);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let start = Instant::now();
+    tokio::time::sleep(MEASURED).await;
+
+    let faults = Instant::now();
+    let plan = plan::draw(options.seed, options.vms, options.faults);
+    let count = plan.len();
+    for (at, action) in plan {
+        tokio::time::sleep_until((faults + at).into()).await;
+        println!("{:>6} ms {action:?}", at.as_millis());
+        tokio::task::spawn_local(Rc::clone(&run).act(action));
+    }
+    tokio::time::sleep_until((faults + options.faults).into()).await;
+    let calm = Instant::now();
+    tokio::time::sleep(LONGEST.min(options.settle) + options.settle).await;
+    let after = Instant::now();
+    tokio::time::sleep(MEASURED).await;
+    let end = Instant::now();
+    run.set_rate(0.0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    run.check_end().await;
+    let ledger = ledger.borrow();
+    let served = [
+        ledger.served(start, faults),
+        ledger.served(faults, calm),
+        ledger.served(after, end),
+    ];
+    let mut violations = ledger.check(BUDGET, DRAIN);
+    violations.extend(Ledger::check_return(served[0], served[2]));
+    Ok(Outcome {
+        violations,
+        requests: ledger.len(),
+        faults: count,
+        served,
+    })
+}
+
+impl Run {
+    async fn await_ready(&self) -> io::Result<()> {
+        let limit = Instant::now() + START_LIMIT;
+        for vm in &self.vms {
+            while !vm.is_ready().await {
+                if Instant::now() > limit {
+                    let error = format!("VM {} is not ready; see its log", vm.index);
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, error));
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn set_rate(&self, factor: f64) {
+        for vm in &self.vms {
+            vm.clients.rate.set(RATE * factor);
+        }
+    }
+
+    /// Looks at the processes as long as the run lasts.
+    async fn look(&self) {
+        loop {
+            for vm in &self.vms {
+                if let Err(error) = vm.look() {
+                    let seen = format!("VM {}: {error}", vm.index);
+                    self.broken(Promise::Ended, seen);
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn broken(&self, promise: Promise, seen: String) {
+        self.site.ledger.borrow_mut().broken(promise, seen);
+    }
+
+    async fn probe(&self, vm: &Vm, version: u64) -> Option<u16> {
+        let number = self.probes.get();
+        self.probes.set(number + 1);
+        let service = if vm.index.is_multiple_of(2) {
+            client::SHOP
+        } else {
+            client::STOCK
+        };
+        let id = format!("{service}-{}-probe-{number}", vm.index);
+        client::probe(&vm.target(), version, id, &self.site.ledger).await
+    }
+
+    /// Checks that a process never goes back to an older configuration.
+    async fn follow_configuration(self: Rc<Self>, vm: Rc<Vm>) {
+        let mut known = (vm.starts(), 0);
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let newest = self.version.get();
+            let starts = vm.starts();
+            let status = self.probe(&vm, newest).await;
+            if vm.starts() != starts {
+                continue;
+            }
+            if starts != known.0 {
+                known = (starts, 0);
+            }
+            match status {
+                Some(200..300) => known.1 = newest,
+                Some(404) if known.1 > 0 => {
+                    let earlier = self.probe(&vm, known.1).await;
+                    if earlier == Some(404) && vm.starts() == starts {
+                        let seen = format!("VM {} went back from version {}", vm.index, known.1);
+                        self.broken(Promise::Configured, seen);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Checks what must hold once everything is calm, and ends the daemons.
+    async fn check_end(&self) {
+        let newest = self.version.get();
+        for vm in &self.vms {
+            if !vm.is_ready().await {
+                let seen = format!("VM {} is not ready at the end", vm.index);
+                self.broken(Promise::Returned, seen);
+            }
+            let status = self.probe(vm, newest).await;
+            if status == Some(404) || status.is_none() {
+                let seen = format!("VM {} gives {status:?} for version {newest}", vm.index);
+                self.broken(Promise::Configured, seen);
+            }
+        }
+        let stops = self.vms.iter().map(|vm| async move {
+            // The endpoint ends first, as on the platform.
+            let endpoint = vm.endpoint.borrow_mut().take();
+            if let Some(endpoint) = endpoint {
+                endpoint.crash().await;
+            }
+            vm.stop(false).await;
+        });
+        join_all(stops).await;
+    }
+
+    async fn act(self: Rc<Self>, action: Action) {
+        if let Err(error) = self.inject(action).await {
+            self.broken(Promise::Ended, format!("{action:?} failed: {error}"));
+        }
+    }
+
+    async fn inject(&self, action: Action) -> io::Result<()> {
+        let fault = |vm: usize, time| self.vms[vm].disturb(Trouble::Fault, time);
+        match action {
+            Action::Stop(vm) => {
+                let vm = &self.vms[vm];
+                vm.disturb(Trouble::Planned, GRACE + RESTART);
+                // A daemon that is paused or cut off meanwhile may take longer.
+                let disturbed = Family::of(self.site.seed) != Family::Planned;
+                // Another action has stopped it already, and starts it again.
+                if !vm.stop(disturbed).await {
+                    return Ok(());
+                }
+                tokio::time::sleep(RESTART / 2).await;
+                vm.start()
+            }
+            Action::Kill(vm) => {
+                fault(vm, RESTART);
+                if !self.vms[vm].kill().await {
+                    return Ok(());
+                }
+                tokio::time::sleep(RESTART).await;
+                self.vms[vm].start()
+            }
+            Action::KillAll => {
+                let mut killed = Vec::new();
+                for vm in &self.vms {
+                    vm.disturb(Trouble::Fault, RESTART);
+                    if vm.kill().await {
+                        killed.push(vm);
+                    }
+                }
+                tokio::time::sleep(RESTART).await;
+                killed.into_iter().try_for_each(|vm| vm.start())
+            }
+            Action::Pause(vm, time) => {
+                fault(vm, time);
+                if self.vms[vm].signal(Signal::STOP) {
+                    tokio::time::sleep(time).await;
+                    self.vms[vm].signal(Signal::CONT);
+                }
+                Ok(())
+            }
+            Action::Hangup(vm, changed) => {
+                let vm = &self.vms[vm];
+                vm.disturb(Trouble::Planned, Duration::ZERO);
+                if changed {
+                    vm.write_settings(self.probes.get())?;
+                }
+                vm.signal(Signal::HUP);
+                Ok(())
+            }
+            Action::Configure => {
+                let version = self.version.get() + 1;
+                let bytes = standin::encode_configuration(version, &client::routes(version));
+                self.site.store.configure(bytes);
+                self.version.set(version);
+                Ok(())
+            }
+            Action::Burst(factor, time) => {
+                self.set_rate(factor);
+                tokio::time::sleep(time).await;
+                self.set_rate(1.0);
+                Ok(())
+            }
+            Action::Store(..) | Action::PauseLeases(_) | Action::Revoke | Action::Compact => {
+                self.harm_store(action).await;
+                Ok(())
+            }
+            Action::Link(vm, link, harm, time) => {
+                fault(vm, time);
+                let vm = &self.vms[vm];
+                let proxy = match link {
+                    Link::Store => &vm.store_link,
+                    Link::Peers => &vm.peer_link,
+                    Link::Endpoint => &vm.endpoint_link,
+                };
+                proxy.set_fault(Some(harm));
+                tokio::time::sleep(time).await;
+                proxy.set_fault(None);
+                Ok(())
+            }
+            Action::Crash(_) | Action::Replace(_) | Action::Endpoint(..) => {
+                self.harm_endpoint(action).await
+            }
+        }
+    }
+
+    async fn harm_store(&self, action: Action) {
+        let store = &self.site.store;
+        match action {
+            Action::Store(vm, harm, time) => {
+                let vms = || {
+                    self.vms
+                        .iter()
+                        .filter(|known| vm.is_none_or(|vm| vm == known.index))
+                };
+                for vm in vms() {
+                    vm.disturb(Trouble::Fault, time);
+                    store.set_fault(vm.index, Some(harm));
+                }
+                tokio::time::sleep(time).await;
+                for vm in vms() {
+                    store.set_fault(vm.index, None);
+                }
+            }
+            Action::PauseLeases(time) => {
+                store.pause_leases(true);
+                tokio::time::sleep(time).await;
+                store.pause_leases(false);
+            }
+            Action::Revoke => {
+                for vm in &self.vms {
+                    vm.disturb(Trouble::Fault, Duration::ZERO);
+                }
+                store.revoke();
+            }
+            _ => store.compact(),
+        }
+    }
+
+    async fn harm_endpoint(&self, action: Action) -> io::Result<()> {
+        match action {
+            Action::Crash(vm) => {
+                let vm = &self.vms[vm];
+                vm.disturb(Trouble::Endpoint, RESTART);
+                let endpoint = vm.endpoint.borrow_mut().take();
+                if let Some(endpoint) = endpoint {
+                    endpoint.crash().await;
+                }
+                tokio::time::sleep(RESTART).await;
+                vm.start_endpoint()
+            }
+            Action::Replace(vm) => {
+                let vm = &self.vms[vm];
+                vm.disturb(Trouble::Planned, DRAIN + RESTART);
+                let endpoint = vm.endpoint.borrow_mut().take();
+                if let Some(endpoint) = endpoint {
+                    endpoint.leave(DRAIN).await;
+                }
+                vm.start_endpoint()
+            }
+            Action::Endpoint(vm, harm, time) => {
+                let vm = &self.vms[vm];
+                vm.disturb(Trouble::Endpoint, time);
+                let endpoint = vm.endpoint.borrow().clone();
+                if let Some(endpoint) = endpoint {
+                    endpoint.fault.set(Some(harm));
+                    tokio::time::sleep(time).await;
+                    endpoint.fault.set(None);
+                }
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,337 @@
+//! A stand-in of the platform's store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use adapter::CONFIGURATION_KEY;
+use adapter::standin::{self, StoreCall, Transaction};
+use adapter::store::{Event, Item, LeaseId};
+use bytes::BytesMut;
+use policy::id::Revision;
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use transport::http1::Side;
+
+use crate::ledger::VmIndex;
+use crate::server::{self, Tasks};
+
+#[cfg(test)]
+mod tests;
+
+/// Shortest lease.
+pub const SHORTEST_LEASE: Duration = Duration::from_secs(1);
+
+/// Time between looks at the leases.
+const LEASE_CHECK: Duration = Duration::from_millis(100);
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It answers late.
+    Slow(Duration),
+    /// It refuses with this status.
+    Refusing(u16),
+    /// It does what it is asked after a while, and answers nothing.
+    Deaf(Duration),
+    /// It closes connections without an answer.
+    Down,
+}
+
+/// Keys, revisions and leases.
+#[derive(Debug, Default)]
+pub struct Content {
+    items: BTreeMap<String, Item>,
+    history: Vec<Event>,
+    compacted: Revision,
+    revision: Revision,
+    leases: HashMap<LeaseId, (Duration, Instant)>,
+    next: LeaseId,
+}
+
+impl Content {
+    /// Reads the keys under a prefix that come after a key.
+    fn list(&self, prefix: &str, after: Option<&str>) -> Vec<Item> {
+        let items = self.items.values();
+        items
+            .filter(|item| item.key.starts_with(prefix))
+            .filter(|item| after.is_none_or(|after| *item.key > *after))
+            .cloned()
+            .collect()
+    }
+
+    /// Changes under a prefix after a revision; `None` when this history is gone.
+    fn changes(&self, prefix: &str, after: Revision) -> Option<Vec<Event>> {
+        if after < self.compacted {
+            return None;
+        }
+        let wanted = |event: &&Event| match event {
+            Event::Written(item) => item.revision > after && item.key.starts_with(prefix),
+            Event::Removed { key, revision } => *revision > after && key.starts_with(prefix),
+        };
+        Some(self.history.iter().filter(wanted).cloned().collect())
+    }
+
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: LeaseId) {
+        let item = Item {
+            key: key.to_owned(),
+            value,
+            revision: self.revision,
+            lease,
+        };
+        self.history.push(Event::Written(item.clone()));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.history.push(Event::Removed {
+                key: key.to_owned(),
+                revision: self.revision,
+            });
+        }
+    }
+
+    /// Makes a transaction's changes, or tells why not: the status and the body.
+    pub fn commit(&mut self, transaction: Transaction) -> (u16, Value) {
+        let revision = |key: &str| self.items.get(key).map_or(0, |item| item.revision);
+        let expected = &transaction.expected;
+        if expected.iter().any(|(key, known)| revision(key) != *known) {
+            let items = expected.iter().filter_map(|(key, _)| self.items.get(key));
+            let items: Vec<Item> = items.cloned().collect();
+            return (412, standin::encode_conflict(&items));
+        }
+        let exists = |lease: LeaseId| lease == 0 || self.leases.contains_key(&lease);
+        if !transaction
+            .writes
+            .iter()
+            .all(|(_, _, lease)| exists(*lease))
+        {
+            return (404, json!({}));
+        }
+        self.revision += 1;
+        for (key, value, lease) in transaction.writes {
+            self.write(&key, value, lease);
+        }
+        for key in transaction.deletes {
+            self.remove(&key);
+        }
+        (200, standin::encode_commit(self.revision))
+    }
+
+    /// Opens a lease.
+    fn open(&mut self, now: Instant, time: Duration) -> LeaseId {
+        self.next += 1;
+        self.leases.insert(self.next, (time, now + time));
+        self.next
+    }
+
+    /// Renews a lease; returns whether it exists.
+    fn renew(&mut self, now: Instant, lease: LeaseId) -> bool {
+        let known = self.leases.get_mut(&lease);
+        known.is_some_and(|(time, end)| {
+            *end = now + *time;
+            true
+        })
+    }
+
+    /// Ends a lease and removes its keys.
+    fn end(&mut self, lease: LeaseId) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        self.revision += 1;
+        let keys: Vec<String> = self
+            .items
+            .values()
+            .filter(|item| item.lease == lease)
+            .map(|item| item.key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Ends the leases that have run out; returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let out = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        let out: Vec<LeaseId> = out.map(|(lease, _)| *lease).collect();
+        for lease in &out {
+            self.end(*lease);
+        }
+        !out.is_empty()
+    }
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    content: RefCell<Content>,
+    changed: Notify,
+    faults: RefCell<HashMap<VmIndex, Fault>>,
+    paused: Cell<bool>,
+}
+
+impl Store {
+    /// Sets what is wrong with the store for one VM.
+    pub fn set_fault(&self, vm: VmIndex, fault: Option<Fault>) {
+        match fault {
+            Some(fault) => self.faults.borrow_mut().insert(vm, fault),
+            None => self.faults.borrow_mut().remove(&vm),
+        };
+        self.changed.notify_waiters();
+    }
+
+    /// Stops or resumes the clock of the leases.
+    pub fn pause_leases(&self, paused: bool) {
+        self.paused.set(paused);
+    }
+
+    /// Writes a configuration as an operator.
+    pub fn configure(&self, bytes: Vec<u8>) {
+        let transaction = Transaction {
+            writes: vec![(CONFIGURATION_KEY.to_owned(), bytes, 0)],
+            ..Transaction::default()
+        };
+        // A write without condition and lease is always done.
+        self.content.borrow_mut().commit(transaction);
+        self.changed.notify_waiters();
+    }
+
+    /// Ends all leases without a word to their owners.
+    pub fn revoke(&self) {
+        let mut content = self.content.borrow_mut();
+        let leases: Vec<LeaseId> = content.leases.keys().copied().collect();
+        for lease in leases {
+            content.end(lease);
+        }
+        drop(content);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        let mut content = self.content.borrow_mut();
+        content.compacted = content.revision;
+        content.history.clear();
+    }
+
+    /// Removes the keys of leases that have run out, as long as the store runs.
+    pub async fn expire(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LEASE_CHECK).await;
+            if !self.paused.get() && self.content.borrow_mut().expire(Instant::now()) {
+                self.changed.notify_waiters();
+            }
+        }
+    }
+
+    /// Serves one VM.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, vm: VmIndex, tasks: Tasks) {
+        while let Ok((stream, _)) = listener.accept().await {
+            tasks.spawn(Rc::clone(&self).answer(stream, vm));
+        }
+    }
+
+    async fn answer(self: Rc<Self>, mut stream: TcpStream, vm: VmIndex) {
+        let mut collector = server::collector(Side::Requests);
+        let mut buffer = BytesMut::new();
+        while let Some(message) = server::read(&mut stream, &mut collector, &mut buffer).await {
+            let Some(call) = standin::decode_call(&message) else {
+                let unknown = standin::encode_answer(400, &json!({}));
+                drop(stream.write_all(&unknown).await);
+                return;
+            };
+            let fault = self.faults.borrow().get(&vm).copied();
+            let (status, body) = match fault {
+                Some(Fault::Down) => return,
+                Some(Fault::Refusing(status)) => (status, json!({})),
+                Some(Fault::Deaf(pause)) => {
+                    tokio::time::sleep(pause).await;
+                    self.execute(call, vm).await;
+                    return;
+                }
+                Some(Fault::Slow(pause)) => {
+                    tokio::time::sleep(pause).await;
+                    self.execute(call, vm).await
+                }
+                None => self.execute(call, vm).await,
+            };
+            let answer = standin::encode_answer(status, &body);
+            if self.faults.borrow().get(&vm) == Some(&Fault::Down)
+                || stream.write_all(&answer).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    async fn execute(&self, call: StoreCall, vm: VmIndex) -> (u16, Value) {
+        let now = Instant::now();
+        match call {
+            StoreCall::Get(key) => {
+                let content = self.content.borrow();
+                let found = content.items.get(&key);
+                found.map_or((404, json!({})), |item| (200, standin::encode_item(item)))
+            }
+            StoreCall::List { prefix, after } => {
+                let content = self.content.borrow();
+                let items = content.list(&prefix, after.as_deref());
+                (200, standin::encode_list(&items, content.revision))
+            }
+            StoreCall::Watch {
+                prefix,
+                after,
+                wait,
+            } => self.watch(&prefix, after, now + wait, vm).await,
+            StoreCall::Commit(transaction) => {
+                let answer = self.content.borrow_mut().commit(transaction);
+                self.changed.notify_waiters();
+                answer
+            }
+            StoreCall::OpenLease(time) => {
+                let lease = self.content.borrow_mut().open(now, time);
+                (200, standin::encode_lease(lease, time))
+            }
+            StoreCall::RenewLease(lease) => {
+                let exists = self.content.borrow_mut().renew(now, lease);
+                (if exists { 200 } else { 404 }, json!({}))
+            }
+            StoreCall::EndLease(lease) => {
+                self.content.borrow_mut().end(lease);
+                self.changed.notify_waiters();
+                (200, json!({}))
+            }
+        }
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        end: Instant,
+        vm: VmIndex,
+    ) -> (u16, Value) {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let content = self.content.borrow();
+                match content.changes(prefix, after) {
+                    None => return (410, json!({})),
+                    Some(events) if !events.is_empty() || Instant::now() >= end => {
+                        return (200, standin::encode_changes(&events, content.revision));
+                    }
+                    Some(_) => {}
+                }
+            }
+            if self.faults.borrow().get(&vm) == Some(&Fault::Down) {
+                return (503, json!({}));
+            }
+            // The wait ends with the time of the watch as well.
+            drop(tokio::time::timeout_at(end.into(), changed).await);
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/vm.rs
@@ -0,0 +1,374 @@
+//! A VM: a daemon process, an endpoint, clients, and proxies around the daemon.
+
+use std::cell::{Cell, RefCell};
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use adapter::standin;
+use bytes::BytesMut;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+use transport::http1::Side;
+
+use crate::client::{Clients, SHOP, STOCK, Target};
+use crate::endpoint::{self, Endpoint, Place};
+use crate::ledger::{Budget, Ledger, Promise, Span, Trouble, VmIndex};
+use crate::proxy::Proxy;
+use crate::server::{self, Tasks};
+use crate::store::{SHORTEST_LEASE, Store};
+
+/// Time from SIGTERM to the end of a daemon.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+/// Time in which a leaving endpoint may still get calls.
+pub const DRAIN: Duration = Duration::from_secs(2);
+
+/// Bound of repeats.
+pub const BUDGET: Budget = Budget {
+    ratio: 0.2,
+    slack: 48.0,
+    window: Duration::from_secs(10),
+};
+
+/// Resident memory of a daemon on the smallest VM, in KiB.
+const MAX_MEMORY: u64 = 160 << 10;
+
+/// Time in which a daemon answers whether it is ready.
+const READY_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time that a request takes at an endpoint.
+const WORK: Duration = Duration::from_millis(15);
+
+/// Ports of a VM.
+#[derive(Clone, Copy, Debug)]
+enum Port {
+    Peers = 8300,
+    EndpointProxy,
+    Ready,
+    Calls,
+    Control,
+    Metrics,
+    StoreProxy,
+    Store,
+    Endpoint,
+    PeersProxy,
+}
+
+/// What all VMs of a run share.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// Directory of settings and logs.
+    pub directory: PathBuf,
+    /// The store.
+    pub store: Rc<Store>,
+    /// What is seen.
+    pub ledger: Rc<RefCell<Ledger>>,
+    /// Tasks of the stand-ins.
+    pub tasks: Tasks,
+    /// Second and third number of the VMs' addresses.
+    pub network: (u8, u8),
+    /// Number of VMs.
+    pub vms: usize,
+    /// Seed of the run.
+    pub seed: u64,
+}
+
+impl Site {
+    fn address(&self, vm: VmIndex, port: Port) -> SocketAddr {
+        let (second, third) = self.network;
+        let ip = Ipv4Addr::new(127, second, third, 10 + vm as u8);
+        SocketAddr::new(IpAddr::V4(ip), port as u16)
+    }
+}
+
+/// A VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its number.
+    pub index: VmIndex,
+    /// Proxy between daemon and store.
+    pub store_link: Rc<Proxy>,
+    /// Proxy between other daemons and this one.
+    pub peer_link: Rc<Proxy>,
+    /// Proxy between daemon and endpoint.
+    pub endpoint_link: Rc<Proxy>,
+    /// Its clients.
+    pub clients: Rc<Clients>,
+    /// The endpoint; `None` while there is none.
+    pub endpoint: RefCell<Option<Rc<Endpoint>>>,
+    site: Site,
+    process: RefCell<Option<Child>>,
+    starts: Cell<u64>,
+}
+
+impl Vm {
+    /// A VM whose daemon has not started.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is in use.
+    pub fn new(site: &Site, index: VmIndex, seed: u64) -> io::Result<Rc<Self>> {
+        let at = |port| site.address(index, port);
+        let proxy = |from, to| Proxy::start(at(from), at(to), &site.tasks);
+        let listener = server::bind(at(Port::Store))?;
+        let store = Rc::clone(&site.store);
+        site.tasks
+            .spawn(store.serve(listener, index, site.tasks.clone()));
+        let target = Target {
+            vm: index,
+            address: at(Port::Calls),
+        };
+        let ledger = Rc::clone(&site.ledger);
+        let service = service_of(index);
+        let clients = Clients::new(target, service, seed, ledger, site.tasks.clone());
+        site.tasks.spawn(Rc::clone(&clients).run());
+        Ok(Rc::new(Self {
+            index,
+            store_link: proxy(Port::StoreProxy, Port::Store)?,
+            peer_link: proxy(Port::PeersProxy, Port::Peers)?,
+            endpoint_link: proxy(Port::EndpointProxy, Port::Endpoint)?,
+            clients,
+            endpoint: RefCell::new(None),
+            site: site.clone(),
+            process: RefCell::new(None),
+            starts: Cell::new(0),
+        }))
+    }
+
+    /// Where requests to its daemon go.
+    #[must_use]
+    pub fn target(&self) -> Target {
+        Target {
+            vm: self.index,
+            address: self.site.address(self.index, Port::Calls),
+        }
+    }
+
+    /// Writes the settings; `note` makes them differ from earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn write_settings(&self, note: u64) -> io::Result<()> {
+        let at = |port| self.site.address(self.index, port);
+        let seeds: Vec<SocketAddr> = (0..self.site.vms)
+            .filter(|vm| *vm != self.index)
+            .map(|vm| self.site.address(vm, Port::Control))
+            .collect();
+        let settings = json!({
+            "vm": format!("vm-{}", self.index),
+            "data_centre": "local",
+            "endpoint": {
+                "service": service_of(self.index), "address": at(Port::EndpointProxy),
+                "heartbeat_ms": endpoint::HEARTBEAT.as_millis() as u64,
+            },
+            "listen": {
+                "calls": at(Port::Calls), "peers": at(Port::Peers), "ready": at(Port::Ready),
+                "control": at(Port::Control), "metrics": at(Port::Metrics),
+                "announced": at(Port::PeersProxy),
+            },
+            "seeds": seeds,
+            "store": {
+                "address": at(Port::StoreProxy),
+                "shortest_lease_ms": SHORTEST_LEASE.as_millis() as u64,
+            },
+            "bounds": {
+                "drain_ms": DRAIN.as_millis() as u64, "grace_s": GRACE.as_secs_f64(),
+                "repeat_ratio": BUDGET.ratio, "repeat_slack": BUDGET.slack,
+                "repeat_window_s": BUDGET.window.as_secs_f64(),
+            },
+        });
+        // The file is replaced at once: a half-written one is the operators' fault, not the daemon's.
+        let path = self.file("jsonc");
+        let new = self.file("new");
+        std::fs::write(&new, format!("// Change {note}.\n{settings}\n"))?;
+        std::fs::rename(new, path)
+    }
+
+    fn file(&self, kind: &str) -> PathBuf {
+        let name = format!("vm-{}.{kind}", self.index);
+        self.site.directory.join(name)
+    }
+
+    fn log(&self) -> io::Result<File> {
+        let mut options = OpenOptions::new();
+        options.create(true).append(true).open(self.file("log"))
+    }
+
+    /// Starts the daemon unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started or its files cannot be written.
+    pub fn start(&self) -> io::Result<()> {
+        let mut process = self.process.borrow_mut();
+        if process.is_some() {
+            return Ok(());
+        }
+        let child = Command::new(&self.site.program)
+            .arg("sidecar")
+            .arg("--settings")
+            .arg(self.file("jsonc"))
+            .stdin(Stdio::null())
+            .stdout(self.log()?)
+            .stderr(self.log()?)
+            .kill_on_drop(true)
+            .spawn()?;
+        *process = Some(child);
+        self.starts.set(self.starts.get() + 1);
+        Ok(())
+    }
+
+    /// Starts of the daemon so far.
+    #[must_use]
+    pub fn starts(&self) -> u64 {
+        self.starts.get()
+    }
+
+    /// Starts an endpoint unless there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its address is in use.
+    pub fn start_endpoint(&self) -> io::Result<()> {
+        let mut endpoint = self.endpoint.borrow_mut();
+        if endpoint.is_some() {
+            return Ok(());
+        }
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let born = now.unwrap_or_default().as_millis() as u64;
+        let service = service_of(self.index);
+        let place = Place {
+            vm: self.index,
+            service,
+            calls: (service == SHOP).then(|| self.target()),
+            address: self.site.address(self.index, Port::Endpoint),
+            announced: self.site.address(self.index, Port::EndpointProxy),
+            control: self.site.address(self.index, Port::Control),
+            work: WORK,
+        };
+        let instance = format!("i-{}-{born}", self.index);
+        let ledger = Rc::clone(&self.site.ledger);
+        *endpoint = Some(Endpoint::start(place, instance, born, ledger)?);
+        Ok(())
+    }
+
+    /// Notes a disturbance that ends after a time, counted from now.
+    pub fn disturb(&self, trouble: Trouble, time: Duration) {
+        let now = Instant::now();
+        self.site.ledger.borrow_mut().disturbed(Span {
+            vm: self.index,
+            trouble,
+            from: now,
+            until: now + time,
+        });
+    }
+
+    /// Sends a signal to the daemon; returns whether there was one.
+    pub fn signal(&self, signal: Signal) -> bool {
+        let process = self.process.borrow();
+        let pid = process.as_ref().and_then(Child::id);
+        let pid = pid.and_then(|id| Pid::from_raw(id.cast_signed()));
+        pid.is_some_and(|pid| kill_process(pid, signal).is_ok())
+    }
+
+    /// Ends the daemon with SIGTERM and checks that it ends in time; returns whether there was one.
+    pub async fn stop(&self, disturbed: bool) -> bool {
+        self.signal(Signal::TERM);
+        let child = self.process.borrow_mut().take();
+        let Some(mut child) = child else {
+            return false;
+        };
+        let result = timeout(GRACE, child.wait()).await;
+        let seen = match result {
+            Ok(Ok(status)) if status.success() => return true,
+            Ok(Ok(status)) => format!("VM {} ended with {status} after SIGTERM", self.index),
+            Ok(Err(error)) => format!("VM {} cannot be awaited: {error}", self.index),
+            Err(_) => format!("VM {} runs on {GRACE:?} after SIGTERM", self.index),
+        };
+        if !disturbed {
+            let mut ledger = self.site.ledger.borrow_mut();
+            ledger.broken(Promise::Ended, seen);
+        }
+        // The process is dropped, which kills it.
+        true
+    }
+
+    /// Kills the daemon; returns whether there was one.
+    pub async fn kill(&self) -> bool {
+        let child = self.process.borrow_mut().take();
+        let Some(mut child) = child else {
+            return false;
+        };
+        // A process that has ended by itself was noted when it was looked at.
+        drop(child.kill().await);
+        true
+    }
+
+    /// Notes a daemon that ended by itself or takes too much memory, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn look(&self) -> io::Result<()> {
+        let mut process = self.process.borrow_mut();
+        let Some(child) = process.as_mut() else {
+            return Ok(());
+        };
+        if let Some(status) = child.try_wait()? {
+            let seen = format!("VM {} ended by itself with {status}", self.index);
+            let mut ledger = self.site.ledger.borrow_mut();
+            ledger.broken(Promise::Ended, seen);
+            *process = None;
+            drop(process);
+            return self.start();
+        }
+        let memory = child.id().and_then(memory);
+        if let Some(memory) = memory
+            && memory > MAX_MEMORY
+        {
+            let seen = format!("VM {} takes {memory} KiB", self.index);
+            self.site.ledger.borrow_mut().broken(Promise::Ended, seen);
+        }
+        Ok(())
+    }
+
+    /// Whether the daemon says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let address = self.site.address(self.index, Port::Ready);
+        let exchange = async {
+            let mut stream = TcpStream::connect(address).await.ok()?;
+            let question = standin::encode_ready_question();
+            stream.write_all(&question).await.ok()?;
+            let mut collector = server::collector(Side::Answers);
+            server::read(&mut stream, &mut collector, &mut BytesMut::new()).await
+        };
+        let answer = timeout(READY_LIMIT, exchange).await.ok().flatten();
+        answer.is_some_and(|answer| answer.head.status == 200)
+    }
+}
+
+/// Service of the endpoint on a VM.
+fn service_of(vm: VmIndex) -> &'static str {
+    if vm.is_multiple_of(2) { SHOP } else { STOCK }
+}
+
+/// Resident memory of a process in KiB.
+fn memory(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
