--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod adoption;
 pub mod allowance;
+pub mod attempt;
 pub mod burn;
 pub mod clock;
 mod defect;
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -7,6 +7,7 @@
 use adapter::request::Request;
 use bytes::Bytes;
 use log::info;
+use policy::attempt::{Attempts, Fate, Next};
 use policy::id::{ServiceName, VmId};
 use policy::placement::{self, Candidate};
 use policy::throttle::{Entry, Usage};
@@ -304,7 +305,7 @@
     /// Offers the call to gates until one answers or nothing more may be tried.
     async fn run(&self) -> Result<Answer, Refusal> {
         let mut refused: Vec<VmId> = Vec::new();
-        let mut arrivals = 0;
+        let mut attempts = Attempts::new(self.route);
         let mut last = Refusal::NoEndpoint;
         for _ in 0..MAX_OFFERS {
             let Some(vm) = self.choose(&refused) else {
@@ -319,7 +320,7 @@
             let now = self.daemon.clock.now();
             self.log_attempt(now, &vm, &outcome, load);
             self.note(now, &vm, &outcome, load);
-            match outcome {
+            let fate = match outcome {
                 Outcome::Answered(answer, body) => {
                     let mut sizes = self.daemon.sizes.borrow_mut();
                     sizes.answered(&self.route.name, body.len());
@@ -333,26 +334,29 @@
                 }
                 Outcome::NotRun(reason) => {
                     // An earlier attempt may have run, so its failure stays the answer.
-                    if !matches!(last, Refusal::Unknown(_)) {
+                    if !attempts.may_have_run() {
                         last = Refusal::NotRun(reason);
                     }
-                    if reason == NotRun::Rejected {
-                        arrivals += 1;
-                        if !self.may_repeat(now, arrivals) {
-                            break;
-                        }
+                    match reason {
+                        NotRun::Rejected => Fate::Rejected,
+                        _ => Fate::Stopped,
                     }
                 }
                 Outcome::Unknown(reason) => {
                     last = Refusal::Unknown(reason);
-                    arrivals += 1;
-                    let again = self.route.repeat == Repeat::Idempotent
-                        && reason != Unknown::TimedOut
-                        && self.may_repeat(now, arrivals);
-                    if !again {
-                        break;
+                    match reason {
+                        Unknown::TimedOut => Fate::TimedOut,
+                        _ => Fate::Lost,
                     }
                 }
+            };
+            let again = match attempts.failed(fate) {
+                Next::Elsewhere => true,
+                Next::Repeat => self.may_repeat(now, attempts.arrivals()),
+                Next::End => false,
+            };
+            if !again {
+                break;
             }
             if now >= self.due.at {
                 break;
@@ -376,9 +380,6 @@
     }
 
     fn may_repeat(&self, now: Instant, arrivals: u32) -> bool {
-        if arrivals >= self.route.attempts {
-            return false;
-        }
         let daemons = self.daemon.fleet.borrow().len();
         let granted = self
             .daemon
