Remember departures of endpoints that a restarted daemon does not know

Replayed with the logs of sidecar-pt-centro-b-7: the daemon restarted at 23.97 s while the store refused it, acknowledged the departure of an instance that it did not know at 24.28 s and forgot it, and at 26.28 s took over the entry of its predecessor, which said that the instance was ready. Ruled out: a late heartbeat; the endpoint sent none.

The gate now remembers such departures and applies them when the instance is announced. Reading on from there: an instance that is first heard of as leaving counts as left at once, because the bound began with a predecessor; and an entry gives way to what other daemons heard of the endpoint.

The test a_leaving_endpoint_gets_no_calls_within_the_bound announced its endpoint as draining from the first word on, which now means that it has left; it announces it as ready first and checks the same.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -9,7 +9,7 @@
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
-use policy::fleet::{State, VmEntry};
+use policy::fleet::{Announcement, State, VmEntry};
 use policy::id::{Revision, ServiceName, VmId};
 use rand::Rng;
 use tokio::sync::Notify;
@@ -272,8 +272,9 @@
             && entry.endpoint.address == daemon.settings.borrow().endpoint.address
             && entry.endpoint.state != State::Gone;
         if daemon.gate.announcement().is_none() && usable {
-            info!(event = "entry_taken_over", instance = &*entry.endpoint.instance, revision = revision; "");
-            daemon.gate.announced(daemon, entry.endpoint.clone());
+            let endpoint = newest(daemon, entry);
+            info!(event = "entry_taken_over", instance = &*endpoint.instance, state:? = endpoint.state, revision = revision; "");
+            daemon.gate.announced(daemon, endpoint);
             self.current.set(false);
             daemon.endpoint_changed();
         }
@@ -468,6 +469,15 @@
     }
 }
 
+/// What is known of the endpoint of an entry: other daemons may have heard that it left when the
+/// predecessor of this process could not write it.
+fn newest(daemon: &Daemon, entry: &VmEntry) -> Announcement {
+    let fleet = daemon.fleet.borrow();
+    let known = fleet.get(&entry.vm).map(|known| &known.endpoint);
+    let newer = known.filter(|known| known.replaces(&entry.endpoint));
+    newer.unwrap_or(&entry.endpoint).clone()
+}
+
 /// Whether two entries of a VM say the same; the sequence number of a heartbeat alone is no news.
 fn same(a: &VmEntry, b: &VmEntry) -> bool {
     let (x, y) = (&a.endpoint, &b.endpoint);
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use adapter::store::{Store, StoreError};
+use bytes::Bytes;
 use policy::fleet::{State, VmEntry};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,6 +46,23 @@
     assert_eq!(daemon.gate.announcement(), None);
 }
 
+/// Guards against an endpoint that left while the store was away and is used again by a restarted
+/// daemon, although its neighbours know better.
+#[test]
+fn an_entry_gives_way_to_what_other_daemons_heard() {
+    let (daemon, _) = daemon();
+    let entry = VmEntry {
+        vm: "vm-1".into(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        data_centre: "madrid".into(),
+        endpoint: announcement("i-1", 1, 1, State::Gone),
+    };
+    daemon.adopt_state(&[(entry, 3)], 0, &Bytes::new());
+    take(&daemon, State::Ready);
+    assert_eq!(daemon.gate.announcement().unwrap().state, State::Gone);
+    assert!(daemon.fleet.borrow().ready("despacho").is_empty());
+}
+
 #[test]
 fn an_entry_does_not_replace_what_the_endpoint_said() {
     let (daemon, _) = daemon();
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -1,9 +1,9 @@
 //! The gate of the endpoint beside this daemon: all its calls pass here.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use adapter::answer::Verdict;
 use adapter::request::{self, Forward};
@@ -59,6 +59,10 @@
 /// endpoint that gets no calls because it refused some must be tried again.
 const FORGOTTEN: f64 = 0.03;
 
+/// Departures of unknown instances that are remembered: instances follow each other on a VM, and an
+/// entry in the store is that of the last or of the one before.
+const MAX_DEPARTURES: usize = 8;
+
 /// A share of one, in thousandths.
 const FULL_SHARE: u16 = SHARE_UNIT as u16;
 
@@ -200,11 +204,25 @@
     }
 }
 
+/// The word that an instance ends which this process does not know yet.
+#[derive(Debug)]
+struct Departure {
+    instance: String,
+    /// Its start; later ones with the same id are others.
+    born: u64,
+    /// When the word came, by the boot-time clock.
+    since: Duration,
+}
+
 /// Gate of one endpoint.
 #[derive(Debug)]
 pub struct Gate {
     announcement: RefCell<Option<Announcement>>,
+    /// When the endpoint said that it leaves, by the boot-time clock.
     leaving: Cell<Option<Duration>>,
+    /// Whether it said so to an earlier process, at a time that is not known.
+    left: Cell<bool>,
+    departures: RefCell<VecDeque<Departure>>,
     unreachable: Cell<Option<Instant>>,
     lane: RefCell<Lane<(JobId, Job)>>,
     active: RefCell<HashMap<JobId, Active>>,
@@ -226,6 +244,8 @@
         Self {
             announcement: RefCell::new(None),
             leaving: Cell::new(None),
+            left: Cell::new(false),
+            departures: RefCell::default(),
             unreachable: Cell::new(None),
             lane: RefCell::new(Lane::new(1)),
             active: RefCell::new(HashMap::new()),
@@ -403,7 +423,11 @@
     }
 
     /// Takes a heartbeat; returns whether it changed anything that others must know.
-    pub fn announced(&self, daemon: &Rc<Daemon>, announcement: Announcement) -> bool {
+    pub fn announced(&self, daemon: &Rc<Daemon>, mut announcement: Announcement) -> bool {
+        let departed = self.departure(&announcement);
+        if departed.is_some() {
+            announcement.state = State::Gone;
+        }
         let mut current = self.announcement.borrow_mut();
         let changed = match &*current {
             None => true,
@@ -430,22 +454,54 @@
         if changed {
             info!(event = "endpoint", instance = &*announcement.instance, service = &*announcement.service, state:? = state, born = announcement.born, sequence = announcement.sequence, slots = announcement.slots; "");
         }
+        // A predecessor of this process may have acknowledged long ago that the endpoint leaves.
+        self.left
+            .set(state != State::Ready && (current.is_none() || self.left.get()));
         *current = Some(announcement);
         drop(current);
-        self.set_leaving(daemon, state);
+        match departed {
+            Some(since) => self.leaving.set(Some(since)),
+            None => self.set_leaving(daemon, state),
+        }
         self.fill(daemon);
         changed
     }
 
+    /// When the word came that an announced instance ends, if it came before the announcement.
+    fn departure(&self, announced: &Announcement) -> Option<Duration> {
+        let departures = self.departures.borrow();
+        let found = departures.iter().find(|departure| {
+            departure.instance == *announced.instance && announced.born <= departure.born
+        });
+        found.map(|departure| departure.since)
+    }
+
+    /// Remembers that an instance ends which is not the known one: its entry may still be read from the
+    /// store.
+    fn remember_departure(&self, daemon: &Daemon, instance: &str, born: Option<u64>) {
+        let now = daemon.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let now = now.unwrap_or_default().as_millis() as u64;
+        let mut departures = self.departures.borrow_mut();
+        if departures.len() >= MAX_DEPARTURES {
+            departures.pop_front();
+        }
+        departures.push_back(Departure {
+            instance: instance.to_owned(),
+            born: born.unwrap_or(now),
+            since: daemon.clock.boot(),
+        });
+    }
+
     /// Takes the word that an instance ends; returns whether it is the one beside this daemon.
     pub fn departed(&self, daemon: &Rc<Daemon>, instance: &str, born: Option<u64>) -> bool {
         let mut current = self.announcement.borrow_mut();
-        let Some(known) = current.as_mut() else {
+        let known = current.as_mut().filter(|known| {
+            *known.instance == *instance && born.is_none_or(|born| born == known.born)
+        });
+        let Some(known) = known else {
+            self.remember_departure(daemon, instance, born);
             return false;
         };
-        if &*known.instance != instance || born.is_some_and(|born| born != known.born) {
-            return false;
-        }
         if known.state == State::Gone {
             return false;
         }
@@ -470,9 +526,8 @@
     /// Whether the time in which a leaving endpoint takes calls is over.
     fn has_left(&self, daemon: &Daemon, share: f64) -> bool {
         let bound = daemon.settings.borrow().bounds.drain().mul_f64(share);
-        self.leaving
-            .get()
-            .is_some_and(|since| daemon.clock.boot().saturating_sub(since) >= bound)
+        let passed = |since| daemon.clock.boot().saturating_sub(since) >= bound;
+        self.left.get() || self.leaving.get().is_some_and(passed)
     }
 
     fn refusal(&self, daemon: &Daemon, now: Instant, job: &Job) -> Option<NotRun> {
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -2,12 +2,13 @@
 //! instance beside it is another one.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use policy::fleet::State;
+use rstest::rstest;
 use tokio::task::LocalSet;
 
-use super::Outcome;
+use super::{Due, Outcome};
 use crate::daemon::Daemon;
 use crate::frame::NotRun;
 use crate::testing::{Outcomes, announcement, daemon, job};
@@ -48,7 +49,9 @@
     LocalSet::new()
         .run_until(async {
             let (daemon, clock) = daemon();
-            announce(&daemon, "i-1", 1, State::Draining);
+            announce(&daemon, "i-1", 1, State::Ready);
+            let leaves = announcement("i-1", 1, 2, State::Draining);
+            daemon.gate.announced(&daemon, leaves);
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), None);
             clock.advance(Duration::from_secs(1));
             assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Leaving));
@@ -72,6 +75,47 @@
         .await;
 }
 
+/// Guards against a daemon that starts while the store is away, acknowledges that its endpoint leaves
+/// and then takes over the entry that says that it is ready (DRAIN on hunt-48fb-19).
+#[rstest]
+#[case::the_same_start(5, Some(5), State::Gone)]
+#[case::an_earlier_start(4, Some(5), State::Gone)]
+#[case::a_later_start_under_the_same_id(6, Some(5), State::Ready)]
+#[case::a_departure_without_a_start(0, None, State::Gone)]
+#[tokio::test]
+async fn a_departure_counts_before_its_instance_is_known(
+    #[case] born: u64,
+    #[case] departed: Option<u64>,
+    #[case] expected: State,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, clock) = daemon();
+            assert!(!daemon.gate.departed(&daemon, "i-1", departed));
+            clock.advance(Duration::from_secs(2));
+            announce(&daemon, "i-1", born, State::Ready);
+            assert_eq!(daemon.gate.announcement().unwrap().state, expected);
+            let refused = refusal(&mut submit(&daemon, "i-1"));
+            let leaving = (expected == State::Gone).then_some(NotRun::Leaving);
+            assert_eq!(refused, leaving);
+        })
+        .await;
+}
+
+/// Guards against a restarted daemon that counts the bound of a leaving endpoint from its own start.
+#[tokio::test]
+async fn an_endpoint_that_left_before_the_start_gets_no_calls() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _) = daemon();
+            announce(&daemon, "i-1", 1, State::Draining);
+            assert_eq!(refusal(&mut submit(&daemon, "i-1")), Some(NotRun::Leaving));
+            announce(&daemon, "i-2", 2, State::Ready);
+            assert_eq!(refusal(&mut submit(&daemon, "i-2")), None);
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn a_stopping_daemon_takes_no_calls_for_its_endpoint() {
     LocalSet::new()
@@ -98,3 +142,25 @@
         })
         .await;
 }
+
+/// Guards against a VM that was suspended and hands on time that its callers no longer have: the clock
+/// of timers stands still meanwhile.
+#[rstest]
+#[case::both_clocks_run(400, 400, 600)]
+#[case::the_vm_was_suspended(100, 700, 300)]
+#[case::nothing_is_left_after_it(100, 2_000, 0)]
+fn time_left_is_counted_by_the_stricter_clock(
+    #[case] passed: u64,
+    #[case] passed_boot: u64,
+    #[case] expected: u64,
+) {
+    let start = Instant::now();
+    let boot = Duration::from_hours(1);
+    let ms = Duration::from_millis;
+    let due = Due {
+        at: start + ms(1_000),
+        boot: boot + ms(1_000),
+    };
+    let left = due.left(start + ms(passed), boot + ms(passed_boot));
+    assert_eq!(left, ms(expected));
+}
