--- /dev/null
+++ b/crates/sapphiredoor/tests/soak.rs
@@ -0,0 +1,36 @@
+//! A short run of the soak with the real binary.
+//!
+//! Guards against faults that only show between processes: calls that run twice, false refusals, lost
+//! answers, daemons that do not end or do not return. Long runs are played by hand, see docs/soak.md.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rstest::rstest;
+use soak::run::{Options, play};
+
+#[rstest]
+#[case::planned_work(0)]
+#[case::everything(5)]
+fn promises_hold_under_faults(#[case] seed: u64) {
+    let process = std::process::id();
+    let directory = std::env::temp_dir().join(format!("soak-{process}-{seed}"));
+    std::fs::create_dir_all(&directory).expect("directory is created");
+    let options = Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_sapphiredoor")),
+        directory: directory.clone(),
+        seed,
+        vms: 4,
+        faults: Duration::from_secs(6),
+        settle: Duration::from_secs(6),
+    };
+    let outcome = play(&options).expect("the stand-ins and the daemons start");
+    assert!(outcome.requests > 0 && outcome.faults > 0, "{outcome:?}");
+    assert!(
+        outcome.violations.is_empty(),
+        "{:#?}; logs: {}",
+        outcome.violations,
+        directory.display()
+    );
+    std::fs::remove_dir_all(&directory).expect("directory is removed");
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -6,6 +6,8 @@
 
 use adapter::standin::Returned;
 
+use crate::stall::Stall;
+
 #[cfg(test)]
 mod tests;
 
@@ -158,8 +160,11 @@
     attempts: BTreeMap<String, Attempt>,
     arrivals: BTreeMap<String, Vec<Arrival>>,
     spans: Vec<Span>,
+    stalls: Vec<Stall>,
     leaving: HashMap<String, Instant>,
     violations: Vec<Violation>,
+    /// Violations of bounds in time, with the begin and the end of what took too long.
+    timed: Vec<(Violation, Instant, Instant)>,
 }
 
 impl Ledger {
@@ -197,6 +202,23 @@
         self.violations.push(Violation { promise, seen });
     }
 
+    /// Notes that something which began at a time took too long.
+    pub fn overdue(&mut self, promise: Promise, seen: String, since: Instant) {
+        let violation = Violation { promise, seen };
+        self.timed.push((violation, since, Instant::now()));
+    }
+
+    /// Notes the times in which the machine did not run a process that was ready.
+    pub fn stalled(&mut self, stalls: Vec<Stall>) {
+        self.stalls = stalls;
+    }
+
+    /// Whether the machine stalled in a time.
+    fn has_stalled(&self, from: Instant, until: Instant) -> bool {
+        let within = |stall: &Stall| stall.from < until && stall.until > from;
+        self.stalls.iter().any(within)
+    }
+
     /// Attempts noted.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -226,6 +248,11 @@
     #[must_use]
     pub fn check(&self, budget: Budget, drain: Duration) -> Vec<Violation> {
         let mut violations = self.violations.clone();
+        for (violation, since, noted) in &self.timed {
+            if !self.has_stalled(*since, *noted) {
+                violations.push(violation.clone());
+            }
+        }
         let mut report = |promise, seen| violations.push(Violation { promise, seen });
         for (id, attempt) in &self.attempts {
             let runs = self.runs(id).count();
@@ -276,9 +303,22 @@
         violations
     }
 
-    /// Checks that service is back, given the part that was served before the faults.
+    /// Checks that service is back, given times of the same load before and after the faults.
+    ///
+    /// Nothing is compared if the machine stalled in one of them.
     #[must_use]
-    pub fn check_return(before: f64, after: f64) -> Option<Violation> {
+    pub fn check_return(
+        &self,
+        before: (Instant, Instant),
+        after: (Instant, Instant),
+    ) -> Option<Violation> {
+        if self.has_stalled(before.0, before.1) || self.has_stalled(after.0, after.1) {
+            return None;
+        }
+        let (before, after) = (
+            self.served(before.0, before.1),
+            self.served(after.0, after.1),
+        );
         (after < RETURNED * before).then(|| Violation {
             promise: Promise::Returned,
             seen: format!("{after:.3} served after the faults, {before:.3} before them"),
@@ -297,12 +337,18 @@
         from: Instant,
         until: Instant,
     ) -> bool {
-        self.spans.iter().any(|span| {
+        // A stall harms all VMs like a fault.
+        let stalled = || {
+            let before = from.checked_sub(CONTACT).unwrap_or(from);
+            troubles.contains(&Trouble::Fault) && self.has_stalled(before, until)
+        };
+        let disturbed = self.spans.iter().any(|span| {
             vm.is_none_or(|vm| vm == span.vm)
                 && troubles.contains(&span.trouble)
                 && span.from <= until
                 && span.until + CONTACT >= from
-        })
+        });
+        disturbed || stalled()
     }
 
     /// Whether an attempt lost its answer without an excuse.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod proxy;
 pub mod run;
 pub mod server;
+pub mod stall;
 pub mod store;
 pub mod vm;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -83,9 +83,10 @@
         let [before, during, after] = outcome.served;
         println!(
             "seed {seed}: {} requests, {} faults, served {before:.3} before, {during:.3} during, \
-             {after:.3} after; {} promises broken",
+             {after:.3} after, {} stalls of the machine; {} promises broken",
             outcome.requests,
             outcome.faults,
+            outcome.stalls,
             outcome.violations.len()
         );
         for violation in &outcome.violations {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use adapter::standin;
@@ -15,6 +16,7 @@
 use crate::ledger::{Ledger, Promise, Trouble, Violation};
 use crate::plan::{self, Action, Family, Link};
 use crate::server::Tasks;
+use crate::stall::Watch;
 use crate::store::Store;
 use crate::vm::{BUDGET, DRAIN, GRACE, Site, Vm};
 
@@ -33,6 +35,9 @@
 /// Longest fault or planned work that an action starts, for its disturbance.
 const LONGEST: Duration = Duration::from_secs(8);
 
+/// Distance of the networks of two runs in one process, prime to their number.
+const NETWORK_STEP: u32 = 61;
+
 /// Longest pause before an ended daemon or endpoint starts again.
 const RESTART: Duration = Duration::from_millis(700);
 
@@ -62,6 +67,8 @@
     pub requests: usize,
     /// Faults injected.
     pub faults: usize,
+    /// Times in which the machine did not run a process that was ready.
+    pub stalls: usize,
     /// Parts served before the faults, during them and after them.
     pub served: [f64; 3],
 }
@@ -90,7 +97,7 @@
 }
 
 async fn run(options: &Options, tasks: Tasks) -> io::Result<Outcome> {
-    let process = std::process::id();
+    let watch = Watch::start();
     let store = Rc::new(Store::default());
     let ledger = Rc::new(RefCell::new(Ledger::default()));
     let site = Site {
@@ -99,8 +106,7 @@
         store: Rc::clone(&store),
         ledger: Rc::clone(&ledger),
         tasks: tasks.clone(),
-        // Runs of several processes at once must not share addresses; 127.0 and 127.1 stay free.
-        network: (2 + (process >> 8) as u8 % 250, process as u8),
+        network: network(),
         vms: options.vms,
         seed: options.seed,
     };
@@ -148,22 +154,36 @@
     run.set_rate(0.0);
     tokio::time::sleep(Duration::from_secs(3)).await;
     run.check_end().await;
-    let ledger = ledger.borrow();
+    let stalls = watch.stalls();
+    let mut ledger = ledger.borrow_mut();
+    let stalled = stalls.len();
+    ledger.stalled(stalls);
     let served = [
         ledger.served(start, faults),
         ledger.served(faults, calm),
         ledger.served(after, end),
     ];
     let mut violations = ledger.check(BUDGET, DRAIN);
-    violations.extend(Ledger::check_return(served[0], served[2]));
+    violations.extend(ledger.check_return((start, faults), (after, end)));
     Ok(Outcome {
         violations,
+        stalls: stalled,
         requests: ledger.len(),
         faults: count,
         served,
     })
 }
 
+/// Second and third number of addresses that no other run uses at the same time, in this process or
+/// in another one; 127.0 and 127.1 stay free.
+fn network() -> (u8, u8) {
+    static RUNS: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let second = 2 + ((process >> 8) + run * NETWORK_STEP) % 250;
+    (second as u8, process as u8)
+}
+
 impl Run {
     async fn await_ready(&self) -> io::Result<()> {
         let limit = Instant::now() + START_LIMIT;
@@ -202,6 +222,10 @@
         self.site.ledger.borrow_mut().broken(promise, seen);
     }
 
+    fn overdue(&self, promise: Promise, seen: String, since: Instant) {
+        self.site.ledger.borrow_mut().overdue(promise, seen, since);
+    }
+
     async fn probe(&self, vm: &Vm, version: u64) -> Option<u16> {
         let number = self.probes.get();
         self.probes.set(number + 1);
@@ -246,14 +270,15 @@
     async fn check_end(&self) {
         let newest = self.version.get();
         for vm in &self.vms {
+            let since = Instant::now();
             if !vm.is_ready().await {
                 let seen = format!("VM {} is not ready at the end", vm.index);
-                self.broken(Promise::Returned, seen);
+                self.overdue(Promise::Returned, seen, since);
             }
             let status = self.probe(vm, newest).await;
             if status == Some(404) || status.is_none() {
                 let seen = format!("VM {} gives {status:?} for version {newest}", vm.index);
-                self.broken(Promise::Configured, seen);
+                self.overdue(Promise::Configured, seen, since);
             }
         }
         let stops = self.vms.iter().map(|vm| async move {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -290,6 +290,7 @@
         let Some(mut child) = child else {
             return false;
         };
+        let since = Instant::now();
         let result = timeout(GRACE, child.wait()).await;
         let seen = match result {
             Ok(Ok(status)) if status.success() => return true,
@@ -299,7 +300,7 @@
         };
         if !disturbed {
             let mut ledger = self.site.ledger.borrow_mut();
-            ledger.broken(Promise::Ended, seen);
+            ledger.overdue(Promise::Ended, seen, since);
         }
         // The process is dropped, which kills it.
         true
