--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of the soak.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::client;
-use crate::ledger::{Ledger, Promise, Trouble, Violation};
+use crate::ledger::{Promise, Trouble, Violation};
 use crate::plan::{self, Action, Family, Link};
 use crate::server::Tasks;
 use crate::stall::Watch;
@@ -26,13 +26,19 @@
 /// Time in which all daemons must be ready after their start.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time of load before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Time in which the last requests get their answers: the longest patience of a client.
+const LAST_ANSWERS: Duration = Duration::from_secs(3);
+
 /// Time of load whose goodput is compared, before the faults and after them.
 const MEASURED: Duration = Duration::from_secs(4);
 
 /// Time between looks at the processes and at the configurations in force.
 const LOOK: Duration = Duration::from_millis(250);
 
-/// Longest fault or planned work that an action starts, for its disturbance.
+/// Longest time for which an action goes on: a stop takes its grace time and a restart.
 const LONGEST: Duration = Duration::from_secs(8);
 
 /// Distance of the networks of two runs in one process, prime to their number.
@@ -98,79 +104,40 @@
 
 async fn run(options: &Options, tasks: Tasks) -> io::Result<Outcome> {
     let watch = Watch::start();
-    let store = Rc::new(Store::default());
-    let ledger = Rc::new(RefCell::new(Ledger::default()));
-    let site = Site {
-        program: options.program.clone(),
-        directory: options.directory.clone(),
-        store: Rc::clone(&store),
-        ledger: Rc::clone(&ledger),
-        tasks: tasks.clone(),
-        network: network(),
-        vms: options.vms,
-        seed: options.seed,
-    };
-    tasks.spawn(Rc::clone(&store).expire());
-    store.configure(standin::encode_configuration(1, &client::routes(1)));
-    let mut vms = Vec::new();
-    for index in 0..options.vms {
-        let vm = Vm::new(&site, index, options.seed ^ index as u64)?;
-        vm.write_settings(0)?;
-        vm.start()?;
-        vm.start_endpoint()?;
-        vms.push(vm);
-    }
-    let run = Rc::new(Run {
-        vms,
-        site,
-        version: Cell::new(1),
-        probes: Cell::new(0),
-    });
-    run.await_ready().await?;
-    let owner = Rc::clone(&run);
-    tasks.spawn(async move { owner.look().await });
-    for vm in &run.vms {
-        tasks.spawn(Rc::clone(&run).follow_configuration(Rc::clone(vm)));
-    }
+    let run = Run::start(options, &tasks).await?;
     run.set_rate(1.0);
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    tokio::time::sleep(WARM_UP).await;
     let start = Instant::now();
     tokio::time::sleep(MEASURED).await;
 
     let faults = Instant::now();
-    let plan = plan::draw(options.seed, options.vms, options.faults);
-    let count = plan.len();
-    for (at, action) in plan {
-        tokio::time::sleep_until((faults + at).into()).await;
-        println!("{:>6} ms {action:?}", at.as_millis());
-        tokio::task::spawn_local(Rc::clone(&run).act(action));
-    }
-    tokio::time::sleep_until((faults + options.faults).into()).await;
+    let count = run.play_plan(faults, options.faults).await;
     let calm = Instant::now();
-    tokio::time::sleep(LONGEST.min(options.settle) + options.settle).await;
+    tokio::time::sleep(LONGEST + options.settle).await;
+
     let after = Instant::now();
     tokio::time::sleep(MEASURED).await;
     let end = Instant::now();
     run.set_rate(0.0);
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(LAST_ANSWERS).await;
     run.check_end().await;
+
     let stalls = watch.stalls();
-    let mut ledger = ledger.borrow_mut();
     let stalled = stalls.len();
+    let mut ledger = run.site.ledger.borrow_mut();
     ledger.stalled(stalls);
-    let served = [
-        ledger.served(start, faults),
-        ledger.served(faults, calm),
-        ledger.served(after, end),
-    ];
     let mut violations = ledger.check(BUDGET, DRAIN);
     violations.extend(ledger.check_return((start, faults), (after, end)));
     Ok(Outcome {
         violations,
-        stalls: stalled,
         requests: ledger.len(),
         faults: count,
-        served,
+        stalls: stalled,
+        served: [
+            ledger.served(start, faults),
+            ledger.served(faults, calm),
+            ledger.served(after, end),
+        ],
     })
 }
 
@@ -185,6 +152,57 @@
 }
 
 impl Run {
+    /// Starts the stand-ins and the daemons, and waits until all are ready.
+    async fn start(options: &Options, tasks: &Tasks) -> io::Result<Rc<Self>> {
+        let store = Rc::new(Store::default());
+        tasks.spawn(Rc::clone(&store).expire());
+        store.configure(standin::encode_configuration(1, &client::routes(1)));
+        let site = Site {
+            program: options.program.clone(),
+            directory: options.directory.clone(),
+            store,
+            ledger: Rc::default(),
+            tasks: tasks.clone(),
+            network: network(),
+            vms: options.vms,
+            seed: options.seed,
+        };
+        let mut vms = Vec::new();
+        for index in 0..options.vms {
+            let vm = Vm::new(&site, index, options.seed ^ index as u64)?;
+            vm.write_settings(0)?;
+            vm.start()?;
+            vm.start_endpoint()?;
+            vms.push(vm);
+        }
+        let run = Rc::new(Self {
+            vms,
+            site,
+            version: Cell::new(1),
+            probes: Cell::new(0),
+        });
+        run.await_ready().await?;
+        let owner = Rc::clone(&run);
+        tasks.spawn(async move { owner.supervise().await });
+        for vm in &run.vms {
+            tasks.spawn(Rc::clone(&run).follow_configuration(Rc::clone(vm)));
+        }
+        Ok(run)
+    }
+
+    /// Injects the faults of the seed from a time on; returns their number.
+    async fn play_plan(self: &Rc<Self>, start: Instant, time: Duration) -> usize {
+        let plan = plan::draw(self.site.seed, self.vms.len(), time);
+        let count = plan.len();
+        for (at, action) in plan {
+            tokio::time::sleep_until((start + at).into()).await;
+            println!("{:>6} ms {action:?}", at.as_millis());
+            tokio::task::spawn_local(Rc::clone(self).act(action));
+        }
+        tokio::time::sleep_until((start + time).into()).await;
+        count
+    }
+
     async fn await_ready(&self) -> io::Result<()> {
         let limit = Instant::now() + START_LIMIT;
         for vm in &self.vms {
@@ -206,10 +224,10 @@
     }
 
     /// Looks at the processes as long as the run lasts.
-    async fn look(&self) {
+    async fn supervise(&self) {
         loop {
             for vm in &self.vms {
-                if let Err(error) = vm.look() {
+                if let Err(error) = vm.supervise() {
                     let seen = format!("VM {}: {error}", vm.index);
                     self.broken(Promise::Ended, seen);
                 }
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -322,7 +322,7 @@
     /// # Errors
     ///
     /// Fails when the program cannot be started.
-    pub fn look(&self) -> io::Result<()> {
+    pub fn supervise(&self) -> io::Result<()> {
         let mut process = self.process.borrow_mut();
         let Some(child) = process.as_mut() else {
             return Ok(());
