Make the test of left-out endpoints able to fail

an_endpoint_that_is_left_out_does_not_lower_the_room_of_the_others passed with its mechanism switched off: the stopping gate of the test stated a share of one like the other. It now states none, and the test fails without the mechanism.

--- a/crates/policy/src/placement/tests.rs
+++ b/crates/policy/src/placement/tests.rs
@@ -173,7 +173,11 @@
     let mut serving = Target::default();
     let mut stopping = Target::default();
     serving.report(now, load(5));
-    stopping.report(now, load(0));
+    let refusing = Load {
+        share: 0.0,
+        ..load(0)
+    };
+    stopping.report(now, refusing);
     stopping.leaves(now, MS * 8_000);
     let rooms = [&serving, &stopping].map(|target| target.room(now));
     let room = Room::sum(rooms.into_iter().flatten()).unwrap();
