Check that work ends soon after its client left

work_ends_when_its_client_leaves also passed without a cancellation, because the route's time-out ended the work after 1.2 s. It now checks the operators' half second and fails without the cancellation.

--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -103,15 +103,19 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn work_ends_when_its_client_leaves() {
     LocalSet::new()
         .run_until(async {
             let mut begun = begin("/read/a").await;
+            let left = tokio::time::Instant::now();
             drop(begun.client);
             // The connection to the endpoint ends, which is how the endpoint learns of it.
             assert_eq!(read_until(&mut begun.running, "never").await, "");
             assert_eq!(begun.daemon.open_calls(), 0);
+            // The operators' bound; without a cancellation the work ends with the route's 1.2 s.
+            let time = left.elapsed();
+            assert!(time < Duration::from_millis(500), "{time:?}");
         })
         .await;
 }
