--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -247,12 +247,7 @@
     async fn probe(&self, vm: &Vm, version: u64) -> Option<u16> {
         let number = self.probes.get();
         self.probes.set(number + 1);
-        let service = if vm.index.is_multiple_of(2) {
-            client::SHOP
-        } else {
-            client::STOCK
-        };
-        let id = format!("{service}-{}-probe-{number}", vm.index);
+        let id = format!("{}-{}-probe-{number}", vm.service(), vm.index);
         client::probe(&vm.target(), version, id, &self.site.ledger).await
     }
 
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -146,6 +146,12 @@
         }))
     }
 
+    /// Service of its endpoint.
+    #[must_use]
+    pub fn service(&self) -> &'static str {
+        service_of(self.index)
+    }
+
     /// Where requests to its daemon go.
     #[must_use]
     pub fn target(&self) -> Target {
@@ -170,7 +176,7 @@
             "vm": format!("vm-{}", self.index),
             "data_centre": "local",
             "endpoint": {
-                "service": service_of(self.index), "address": at(Port::EndpointProxy),
+                "service": self.service(), "address": at(Port::EndpointProxy),
                 "heartbeat_ms": endpoint::HEARTBEAT.as_millis() as u64,
             },
             "listen": {
@@ -248,7 +254,7 @@
         }
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let born = now.unwrap_or_default().as_millis() as u64;
-        let service = service_of(self.index);
+        let service = self.service();
         let place = Place {
             vm: self.index,
             service,
