--- a/crates/soak/src/stall.rs
+++ b/crates/soak/src/stall.rs
@@ -18,7 +18,7 @@
 const NAP: Duration = Duration::from_millis(10);
 
 /// Delay from which a machine counts as stalled: half of the shortest bound that is checked.
-const STALLED: Duration = Duration::from_millis(100);
+pub const STALLED: Duration = Duration::from_millis(100);
 
 /// A time in which the machine did not run a watcher.
 #[derive(Clone, Copy, Debug)]
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -24,6 +24,7 @@
 use crate::ledger::{Budget, Ledger, Promise, Span, Trouble, VmIndex};
 use crate::proxy::Proxy;
 use crate::server::{self, Tasks};
+use crate::stall::STALLED;
 use crate::store::{SHORTEST_LEASE, Store};
 
 /// Time from SIGTERM to the end of a daemon.
@@ -110,6 +111,8 @@
     site: Site,
     process: RefCell<Option<Child>>,
     starts: Cell<u64>,
+    /// Process, time for which it had waited for a core, and when that was read.
+    waited: Cell<Option<(u32, Duration, Instant)>>,
 }
 
 impl Vm {
@@ -143,6 +146,7 @@
             site: site.clone(),
             process: RefCell::new(None),
             starts: Cell::new(0),
+            waited: Cell::new(None),
         }))
     }
 
@@ -341,7 +345,9 @@
             drop(process);
             return self.start();
         }
-        let memory = child.id().and_then(memory);
+        let id = child.id();
+        self.note_starvation(id);
+        let memory = id.and_then(memory);
         if let Some(memory) = memory
             && memory > MAX_MEMORY
         {
@@ -351,6 +357,26 @@
         Ok(())
     }
 
+    /// Notes a disturbance when the daemon was ready to run and the machine had no core for it.
+    fn note_starvation(&self, id: Option<u32>) {
+        let now = Instant::now();
+        let Some((id, waited)) = id.and_then(|id| Some((id, waited(id)?))) else {
+            return;
+        };
+        let last = self.waited.replace(Some((id, waited, now)));
+        if let Some((known, before, since)) = last
+            && known == id
+            && waited.saturating_sub(before) >= STALLED
+        {
+            self.site.ledger.borrow_mut().disturbed(Span {
+                vm: self.index,
+                trouble: Trouble::Fault,
+                from: since,
+                until: now,
+            });
+        }
+    }
+
     /// Whether the daemon says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let address = self.site.address(self.index, Port::Ready);
@@ -371,6 +397,14 @@
     if vm.is_multiple_of(2) { SHOP } else { STOCK }
 }
 
+/// Time for which the main thread of a process has been ready to run and waited for a core.
+fn waited(process: u32) -> Option<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/schedstat")).ok()?;
+    // Nanoseconds of running, nanoseconds of waiting, number of times it ran.
+    let waited = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Duration::from_nanos(waited))
+}
+
 /// Resident memory of a process in KiB.
 fn memory(process: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
