Take the room of a data centre once for each choice

Found by reading the change. The decision on a new chain asked for each room twice, and a listing of VMs was searched once for each VM. Results are the same; the tests of sidecar and policy pass as they are.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -5,7 +5,7 @@
 //! An entry that disappears from the store stays in use for a while, because its lease may have
 //! lapsed in an outage while its VM lives.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -166,6 +166,7 @@
 
     /// Notes that a whole listing at a revision holds just these VMs.
     pub fn listed(&mut self, now: Instant, vms: &[VmId], revision: Revision) {
+        let vms: BTreeSet<&VmId> = vms.iter().collect();
         for (vm, member) in &mut self.members {
             if member.revision <= revision && !vms.contains(vm) {
                 member.missing.get_or_insert(now);
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -136,15 +136,15 @@
         let state = self.state(&route.name);
         let returned = patience < state.patience.mul_f64(RETURNED_BELOW);
         state.patience = state.patience.max(patience);
-        let share_of = |service| room_of(service).map_or(1.0, |room: Room| room.share);
-        let uses = || state.uses();
-        let share = uses()
-            .map(|(service, _)| share_of(service))
-            .fold(share_of(service), f64::min);
+        let mut share = room_of(service).map_or(1.0, |room| room.share);
         // Each call that an endpoint refuses ends its chain, since the budget of repeats is small.
-        let chance: f64 = uses()
-            .filter_map(|(service, calls)| Some(room_of(service)?.accepted.powf(*calls)))
-            .product();
+        let mut chance = 1.0_f64;
+        for (service, calls) in state.uses() {
+            if let Some(room) = room_of(service) {
+                share = share.min(room.share);
+                chance *= room.accepted.powf(*calls);
+            }
+        }
         let share = share.min(chance * LEAST_CHANCE.recip()).max(TRICKLE);
         if route.rank == 0 || share >= 1.0 {
             return Entry::Admitted(1.0);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -1,5 +1,6 @@
 //! One call: its route, its endpoint, and what its caller gets.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,7 +9,7 @@
 use bytes::Bytes;
 use log::info;
 use policy::attempt::{Attempts, Fate, Next};
-use policy::id::{ServiceName, VmId};
+use policy::id::{DataCentreName, ServiceName, VmId};
 use policy::placement::{self, Candidate};
 use policy::throttle::{Entry, Usage};
 use policy::traffic::{Repeat, Route};
@@ -415,6 +416,8 @@
                 .map(|room| room.share)
                 .fold(1.0, f64::min)
         };
+        // The room of a data centre is a sum over its endpoints, so it is taken once for each.
+        let mut rooms: BTreeMap<&DataCentreName, f64> = BTreeMap::new();
         let targets: Vec<_> = peers.iter().map(|(_, peer)| peer.target.borrow()).collect();
         let candidates: Vec<Candidate<'_>> = peers
             .iter()
@@ -425,7 +428,7 @@
                     vm,
                     target: Some(target),
                     near: *centre == self.daemon.data_centre,
-                    room: room(centre),
+                    room: *rooms.entry(centre).or_insert_with(|| room(centre)),
                 })
             })
             .collect();
