Keep when an endpoint leaves in one place

The gate had two cells for it: a time, and a flag for a time that is not known. They are now one state, and the load that a look at the demand reports is read once instead of up to four times.

--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -214,14 +214,20 @@
     since: Duration,
 }
 
+/// When an endpoint said that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leaving {
+    /// At this time, by the boot-time clock.
+    Since(Duration),
+    /// To an earlier process, at a time that is not known.
+    Earlier,
+}
+
 /// Gate of one endpoint.
 #[derive(Debug)]
 pub struct Gate {
     announcement: RefCell<Option<Announcement>>,
-    /// When the endpoint said that it leaves, by the boot-time clock.
-    leaving: Cell<Option<Duration>>,
-    /// Whether it said so to an earlier process, at a time that is not known.
-    left: Cell<bool>,
+    leaving: Cell<Option<Leaving>>,
     departures: RefCell<VecDeque<Departure>>,
     unreachable: Cell<Option<Instant>>,
     lane: RefCell<Lane<(JobId, Job)>>,
@@ -244,7 +250,6 @@
         Self {
             announcement: RefCell::new(None),
             leaving: Cell::new(None),
-            left: Cell::new(false),
             departures: RefCell::default(),
             unreachable: Cell::new(None),
             lane: RefCell::new(Lane::new(1)),
@@ -320,27 +325,21 @@
             demand.adjust(self.lane.borrow().next_wait(), load.held);
             let share = demand.share(now, load.capacity());
             drop(demand);
-            let share = (share * SHARE_UNIT) as u16;
-            self.share.set(share);
+            self.share.set((share * SHARE_UNIT) as u16);
             self.accepted
                 .set(1.0 - (1.0 - self.accepted.get()) * (1.0 - FORGOTTEN));
-            let accepted = self.load().accepted;
-            let room = share.min(accepted);
+            let load = self.load();
+            let room = load.share.min(load.accepted);
             let news = room.abs_diff(told.0) >= SHARE_STEP;
             let due = room < FULL_SHARE && now.saturating_duration_since(told.1) >= REPEAT_SHARE;
             if news || due {
                 told = (room, now);
                 if news && daemon.journal.allows(now, "room") {
-                    let load = self.load();
                     info!(event = "room", share = load.share, accepted = load.accepted, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
                 }
-                daemon.watchers.notify(&Frame::Load(self.load()));
-                daemon
-                    .peers
-                    .get(&daemon.vm)
-                    .target
-                    .borrow_mut()
-                    .report(now, self.load().into());
+                daemon.watchers.notify(&Frame::Load(load));
+                let own = daemon.peers.get(&daemon.vm);
+                own.target.borrow_mut().report(now, load.into());
             }
         }
     }
@@ -454,14 +453,18 @@
         if changed {
             info!(event = "endpoint", instance = &*announcement.instance, service = &*announcement.service, state:? = state, born = announcement.born, sequence = announcement.sequence, slots = announcement.slots; "");
         }
-        // A predecessor of this process may have acknowledged long ago that the endpoint leaves.
-        self.left
-            .set(state != State::Ready && (current.is_none() || self.left.get()));
+        let first = current.is_none();
         *current = Some(announcement);
         drop(current);
-        match departed {
-            Some(since) => self.leaving.set(Some(since)),
-            None => self.set_leaving(daemon, state),
+        self.leaving.set(match (state, self.leaving.get()) {
+            (State::Ready, _) => None,
+            // A predecessor of this process may have acknowledged long ago that the endpoint leaves.
+            (_, Some(Leaving::Earlier)) => Some(Leaving::Earlier),
+            _ if first => Some(Leaving::Earlier),
+            (_, before) => departed.map(Leaving::Since).or(before),
+        });
+        if state != State::Ready {
+            self.leave(daemon);
         }
         self.fill(daemon);
         changed
@@ -508,26 +511,25 @@
         known.state = State::Gone;
         info!(event = "endpoint", instance = instance, state:? = State::Gone; "");
         drop(current);
-        self.set_leaving(daemon, State::Gone);
+        self.leave(daemon);
         true
     }
 
-    fn set_leaving(&self, daemon: &Rc<Daemon>, state: State) {
-        match state {
-            State::Ready => self.leaving.set(None),
-            State::Draining | State::Gone => {
-                if self.leaving.get().is_none() {
-                    self.leaving.set(Some(daemon.clock.boot()));
-                }
-            }
-        }
+    /// Begins the time in which a leaving endpoint takes its last calls, unless it has begun.
+    fn leave(&self, daemon: &Daemon) {
+        let leaving = self.leaving.get();
+        let now = Leaving::Since(daemon.clock.boot());
+        self.leaving.set(leaving.or(Some(now)));
     }
 
     /// Whether the time in which a leaving endpoint takes calls is over.
     fn has_left(&self, daemon: &Daemon, share: f64) -> bool {
         let bound = daemon.settings.borrow().bounds.drain().mul_f64(share);
-        let passed = |since| daemon.clock.boot().saturating_sub(since) >= bound;
-        self.left.get() || self.leaving.get().is_some_and(passed)
+        match self.leaving.get() {
+            None => false,
+            Some(Leaving::Since(since)) => daemon.clock.boot().saturating_sub(since) >= bound,
+            Some(Leaving::Earlier) => true,
+        }
     }
 
     fn refusal(&self, daemon: &Daemon, now: Instant, job: &Job) -> Option<NotRun> {
