Read frames between daemons in one place

The loop that reads bytes, decodes frames and notices the end of a connection stood three times: for calls to a gate, for calls from other daemons and for questions about the state. reader::read_frames serves all three. The causes in the log are the same.

--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -2,19 +2,20 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use log::{info, warn};
-use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::daemon::Daemon;
-use crate::frame::{BadFrame, Decoder, Frame, PROTOCOL, StreamId};
+use crate::frame::{Frame, PROTOCOL, StreamId};
 use crate::gate::{Due, Job, JobId, Reply};
 use crate::listener::accept;
 use crate::outbox::Outbox;
+use crate::reader::read_frames;
 
 /// Calls of one connection after which the finished ones are forgotten.
 const PURGE_AT: usize = 1_024;
@@ -64,25 +65,19 @@
         jobs: RefCell::new(HashMap::new()),
     };
     let (mut reader, mut writer) = stream.split();
-    let mut buffer = BytesMut::with_capacity(16 << 10);
-    let mut decoder = Decoder::default();
-    let read = async {
-        while matches!(reader.read_buf(&mut buffer).await, Ok(count) if count > 0) {
-            loop {
-                match decoder.decode(&mut buffer) {
-                    Ok(Some((frame, body))) => {
-                        if !connection.take(frame, body) {
-                            return;
-                        }
-                    }
-                    Ok(None) => break,
-                    Err(BadFrame) => return,
-                }
+    let read = read_frames(
+        &mut reader,
+        || {},
+        |frame, body| {
+            if connection.take(frame, body) {
+                ControlFlow::Continue(())
+            } else {
+                ControlFlow::Break(())
             }
-        }
-    };
+        },
+    );
     tokio::select! {
-        () = read => {}
+        _ = read => {}
         _ = connection.outbox.write_to(&mut writer) => {}
         () = connection.outbox.ended() => {}
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod meter;
 pub mod outbox;
 pub mod peer;
+pub mod reader;
 pub mod run;
 pub mod settings;
 #[cfg(test)]
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -2,23 +2,25 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use log::{info, warn};
 use policy::id::VmId;
 use policy::placement::Target;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::daemon::Daemon;
-use crate::frame::{BadFrame, CallHead, Decoder, Frame, Load, NotRun, PROTOCOL, StreamId, Unknown};
+use crate::frame::{CallHead, Frame, Load, NotRun, PROTOCOL, StreamId, Unknown};
 use crate::gate::Outcome;
 use crate::outbox::Outbox;
+use crate::reader::read_frames;
 
 #[cfg(test)]
 mod tests;
@@ -179,28 +181,16 @@
         }
         link.heard.set(daemon.clock.now());
         let (mut reader, mut writer) = stream.split();
-        let mut buffer = BytesMut::with_capacity(16 << 10);
-        let mut decoder = Decoder::default();
-        let read = async {
-            loop {
-                match reader.read_buf(&mut buffer).await {
-                    Ok(0) => return "closed by the other side".to_owned(),
-                    Ok(_) => {}
-                    Err(error) => return format!("read: {error}"),
-                }
-                link.heard.set(daemon.clock.now());
-                link.pinged.set(None);
-                loop {
-                    match decoder.decode(&mut buffer) {
-                        Ok(Some((frame, body))) => self.take(daemon, link, frame, body),
-                        Ok(None) => break,
-                        Err(BadFrame) => return "a frame cannot be read".to_owned(),
-                    }
-                }
-            }
+        let heard = || {
+            link.heard.set(daemon.clock.now());
+            link.pinged.set(None);
         };
+        let read = read_frames(&mut reader, heard, |frame, body| {
+            self.take(daemon, link, frame, body);
+            ControlFlow::<Infallible>::Continue(())
+        });
         tokio::select! {
-            cause = read => cause,
+            Err(lost) = read => lost.to_string(),
             result = link.outbox.write_to(&mut writer) => {
                 result.map_or_else(|error| format!("write: {error}"), |()| "written".to_owned())
             }
@@ -355,23 +345,19 @@
         outbox.push(&hello, &[]);
         outbox.push(&Frame::AskState, &[]);
         let (mut reader, mut writer) = stream.split();
-        let mut buffer = BytesMut::new();
-        let mut decoder = Decoder::default();
-        let read = async {
-            loop {
-                if reader.read_buf(&mut buffer).await.ok()? == 0 {
-                    return None;
+        let read = read_frames(
+            &mut reader,
+            || {},
+            |frame, body| match frame {
+                Frame::State { entries, revision } => {
+                    daemon.adopt_state(&entries, revision, &body);
+                    ControlFlow::Break(())
                 }
-                while let Some((frame, body)) = decoder.decode(&mut buffer).ok()? {
-                    if let Frame::State { entries, revision } = frame {
-                        daemon.adopt_state(&entries, revision, &body);
-                        return Some(());
-                    }
-                }
-            }
-        };
+                _ => ControlFlow::Continue(()),
+            },
+        );
         tokio::select! {
-            answer = read => answer,
+            answer = read => answer.ok(),
             _ = outbox.write_to(&mut writer) => None,
         }
     };
