--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -184,14 +184,20 @@
         body: Bytes::new(),
         probe: false,
     };
-    let Some(mut connection) = Connection::open(target.address).await else {
-        return false;
-    };
     let leaving = Leaving { id, ledger };
-    let sent = connection.send(target.vm, std::slice::from_ref(&request), ledger);
-    let served = sent.await && connection.receive(&request, ledger).await == Some(200);
+    let status = exchange(target, &request, ledger).await;
     std::mem::forget(leaving);
-    served
+    status == Some(200)
+}
+
+/// Sends a request over a new connection; returns the status of its answer.
+async fn exchange(target: &Target, request: &Request, ledger: &RefCell<Ledger>) -> Option<u16> {
+    let mut connection = Connection::open(target.address).await?;
+    let sent = connection.send(target.vm, std::slice::from_ref(request), ledger);
+    if !sent.await {
+        return None;
+    }
+    connection.receive(request, ledger).await
 }
 
 /// Notes that an endpoint left its call because its own request was cancelled.
@@ -223,12 +229,7 @@
         body: Bytes::new(),
         probe: true,
     };
-    let mut connection = Connection::open(target.address).await?;
-    let sent = connection.send(target.vm, std::slice::from_ref(&request), ledger);
-    if !sent.await {
-        return None;
-    }
-    connection.receive(&request, ledger).await
+    exchange(target, &request, ledger).await
 }
 
 /// A request of a client.
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -11,7 +11,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, SemaphorePermit};
-use tokio::time::timeout;
 use transport::http1::{Message, Side};
 
 use crate::client::{self, Target};
@@ -194,13 +193,7 @@
 
     /// Sends an announcement; returns whether it was acknowledged.
     async fn post(&self, bytes: Vec<u8>) -> bool {
-        let exchange = async {
-            let mut stream = TcpStream::connect(self.place.control).await.ok()?;
-            stream.write_all(&bytes).await.ok()?;
-            let mut collector = server::collector(Side::Answers);
-            server::read(&mut stream, &mut collector, &mut BytesMut::new()).await
-        };
-        let answer = timeout(ACKNOWLEDGED_IN, exchange).await.ok().flatten();
+        let answer = server::ask(self.place.control, &bytes, ACKNOWLEDGED_IN).await;
         answer.is_some_and(|answer| answer.head.status == 200)
     }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -255,30 +255,7 @@
         }
         let mut report = |promise, seen| violations.push(Violation { promise, seen });
         for (id, attempt) in &self.attempts {
-            let runs = self.runs(id).count();
-            if attempt.once && runs > 1 {
-                report(Promise::Once, format!("{id} ran {runs} times"));
-            }
-            if !attempt.once && runs > attempt.attempts {
-                report(Promise::Attempts, format!("{id} ran {runs} times"));
-            }
-            if let Some((_, End::Answered(answer))) = &attempt.end
-                && answer.is_promise()
-                && runs > 0
-            {
-                let status = answer.status;
-                report(Promise::NotRun, format!("{id} ran and got {status}"));
-            }
-            if let Some(run) = self.runs(id).find(|run| run.service != attempt.service) {
-                let (asked, service) = (attempt.service, run.service);
-                report(
-                    Promise::Routed,
-                    format!("{id} for {asked} ran at {service}"),
-                );
-            }
-            if self.is_lost(id, attempt) {
-                report(Promise::Lost, format!("{id} at VM {}", attempt.vm));
-            }
+            self.check_attempt(id, attempt, &mut report);
         }
         let (late, due) = self.held();
         if late.len() >= HELD_ALLOWED.0 && late.len() as f64 > HELD_ALLOWED.1 * due as f64 {
@@ -288,21 +265,56 @@
             report(Promise::Budget, seen);
         }
         for (id, arrivals) in &self.arrivals {
-            for arrival in arrivals {
-                let Some(since) = self.leaving.get(&arrival.instance) else {
-                    continue;
-                };
-                let calm =
-                    !self.is_disturbed(Some(arrival.vm), &[Trouble::Fault], *since, arrival.at);
-                if arrival.at > *since + drain && calm {
-                    let after = arrival.at.duration_since(*since).as_millis();
-                    report(Promise::Drained, format!("{id} after {after} ms"));
-                }
+            for after in arrivals
+                .iter()
+                .filter_map(|arrival| self.drained(arrival, drain))
+            {
+                report(
+                    Promise::Drained,
+                    format!("{id} after {} ms", after.as_millis()),
+                );
             }
         }
         violations
     }
 
+    /// Checks the runs and the end of one attempt.
+    fn check_attempt(&self, id: &str, attempt: &Attempt, report: &mut impl FnMut(Promise, String)) {
+        let runs = self.runs(id).count();
+        if attempt.once && runs > 1 {
+            report(Promise::Once, format!("{id} ran {runs} times"));
+        }
+        if !attempt.once && runs > attempt.attempts {
+            report(Promise::Attempts, format!("{id} ran {runs} times"));
+        }
+        if let Some((_, End::Answered(answer))) = &attempt.end
+            && answer.is_promise()
+            && runs > 0
+        {
+            let status = answer.status;
+            report(Promise::NotRun, format!("{id} ran and got {status}"));
+        }
+        if let Some(run) = self.runs(id).find(|run| run.service != attempt.service) {
+            let (asked, service) = (attempt.service, run.service);
+            report(
+                Promise::Routed,
+                format!("{id} for {asked} ran at {service}"),
+            );
+        }
+        if self.is_lost(id, attempt) {
+            report(Promise::Lost, format!("{id} at VM {}", attempt.vm));
+        }
+    }
+
+    /// Time since an endpoint's leaving was acknowledged, if a call arrived there beyond the bound.
+    fn drained(&self, arrival: &Arrival, bound: Duration) -> Option<Duration> {
+        let since = *self.leaving.get(&arrival.instance)?;
+        let after = arrival.at.checked_duration_since(since)?;
+        let faults = [Trouble::Fault];
+        let disturbed = || self.is_disturbed(Some(arrival.vm), &faults, since, arrival.at);
+        (after > bound && !disturbed()).then_some(after)
+    }
+
     /// Checks that service is back, given times of the same load before and after the faults.
     ///
     /// Nothing is compared if the machine stalled in one of them.
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 use transport::http1::{Collector, Message, Side};
 
 /// Bytes of a head and of a body.
@@ -33,7 +35,7 @@
 /// Resets a connection instead of closing it.
 pub fn reset(stream: TcpStream) {
     // A socket that refuses the option is closed in order, which is a milder fault.
-    let _ = SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     drop(stream);
 }
 
@@ -56,6 +58,21 @@
     }
 }
 
+/// Sends a request over a new connection and reads its answer; `None` when there is none in time.
+pub async fn ask(address: SocketAddr, request: &[u8], limit: Duration) -> Option<Message> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(request).await.ok()?;
+        read(
+            &mut stream,
+            &mut collector(Side::Answers),
+            &mut BytesMut::new(),
+        )
+        .await
+    };
+    timeout(limit, exchange).await.ok().flatten()
+}
+
 /// A collector of one side's messages.
 #[must_use]
 pub fn collector(side: Side) -> Collector {
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -10,14 +10,10 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use adapter::standin;
-use bytes::BytesMut;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
-use transport::http1::Side;
 
 use crate::client::{Clients, SHOP, STOCK, Target};
 use crate::endpoint::{self, Endpoint, Place};
@@ -380,14 +376,8 @@
     /// Whether the daemon says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let address = self.site.address(self.index, Port::Ready);
-        let exchange = async {
-            let mut stream = TcpStream::connect(address).await.ok()?;
-            let question = standin::encode_ready_question();
-            stream.write_all(&question).await.ok()?;
-            let mut collector = server::collector(Side::Answers);
-            server::read(&mut stream, &mut collector, &mut BytesMut::new()).await
-        };
-        let answer = timeout(READY_LIMIT, exchange).await.ok().flatten();
+        let question = standin::encode_ready_question();
+        let answer = server::ask(address, &question, READY_LIMIT).await;
         answer.is_some_and(|answer| answer.head.status == 200)
     }
 }
