--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod level;
 pub mod limit;
 pub mod member;
+pub mod pacing;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -94,14 +94,27 @@
     pending: Pending,
     /// Whether the last request of the connection has been read.
     last: bool,
-    /// When bytes were last read or written.
-    active_at: Instant,
+    /// Part of a request that is being received.
+    stage: Stage,
+    /// When the wait for the client began.
+    waiting_since: Instant,
+}
+
+/// Part of a request that a connection is receiving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No byte of a request has arrived.
+    Idle,
+    /// The head has arrived in part.
+    Head,
+    /// The body has arrived in part.
+    Body,
 }
 
 impl Connection {
     fn new(daemon: Rc<Daemon>) -> Self {
         let limits = DEFAULT_LIMITS;
-        let active_at = daemon.clock.now();
+        let waiting_since = daemon.clock.now();
         Self {
             daemon,
             limits,
@@ -109,7 +122,8 @@
             buffer: BytesMut::new(),
             pending: Pending::new(),
             last: false,
-            active_at,
+            stage: Stage::Idle,
+            waiting_since,
         }
     }
 
@@ -117,6 +131,7 @@
     async fn run(&mut self, reader: &mut ReadHalf<'_>, writer: &mut WriteHalf<'_>) -> bool {
         loop {
             self.start_requests();
+            self.update_stage();
             if self.pending.is_empty() && self.last {
                 return true;
             }
@@ -136,33 +151,47 @@
                     if !matches!(read, Ok(count) if count > 0) {
                         return false;
                     }
-                    self.active_at = self.daemon.clock.now();
+                    if self.stage == Stage::Body {
+                        self.waiting_since = self.daemon.clock.now();
+                    }
                 }
-                () = tokio::time::sleep_until((self.active_at + limit).into()), if self.pending.is_empty() => {
+                () = tokio::time::sleep_until((self.waiting_since + limit).into()), if self.pending.is_empty() => {
                     return self.expire(writer).await;
                 }
             }
         }
     }
 
-    /// Returns the time that the client has to send the next bytes.
+    /// Returns the time that the client has to send a whole head, or the next bytes of a body, or
+    /// to begin a request.
     fn read_timeout(&self) -> Duration {
-        if self.has_partial_request() {
-            self.limits.head_time
-        } else {
-            self.limits.idle_time
+        match self.stage {
+            Stage::Idle => self.limits.idle_time,
+            Stage::Head | Stage::Body => self.limits.head_time,
         }
     }
 
-    /// Whether a request has arrived in part.
-    fn has_partial_request(&self) -> bool {
-        self.decoder.pending().is_some() || !self.buffer.is_empty()
+    /// Updates the stage from what has been decoded, and restarts the wait when it changes. Bytes
+    /// that do not complete a head do not restart it, so that a client cannot hold a connection by
+    /// sending a head, or empty lines, without end.
+    fn update_stage(&mut self) {
+        let stage = if self.decoder.pending().is_some() {
+            Stage::Body
+        } else if self.buffer.is_empty() {
+            Stage::Idle
+        } else {
+            Stage::Head
+        };
+        if stage != self.stage {
+            self.stage = stage;
+            self.waiting_since = self.daemon.clock.now();
+        }
     }
 
     /// Ends a connection that was idle for too long; returns whether the client is still connected.
     /// A request that has arrived only in part gets status 408.
     async fn expire(&mut self, writer: &mut WriteHalf<'_>) -> bool {
-        if self.has_partial_request() {
+        if self.stage != Stage::Idle {
             let served = Served {
                 id: None,
                 response: Err(408),
@@ -206,6 +235,7 @@
     }
 
     fn start(&mut self, message: Message) {
+        self.waiting_since = self.daemon.clock.now();
         let daemon = Rc::clone(&self.daemon);
         let serve = async move {
             match request::decode(&message) {
@@ -243,7 +273,7 @@
             closes = self.encode(&next, &mut bytes);
         }
         let written = timeout(WRITE_TIMEOUT, writer.write_all(&bytes)).await;
-        self.active_at = self.daemon.clock.now();
+        self.waiting_since = self.daemon.clock.now();
         matches!(written, Ok(Ok(()))).then_some(closes)
     }
 
--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -1,13 +1,16 @@
 //! Guards against pipelined requests that wait for each other, responses in the wrong order, calls
 //! that go on for disconnected clients, timeouts that are exceeded, calls that are refused as not
 //! run although they may have run, responses to other requests that are passed on, and connections
-//! that a stopping daemon leaves open.
+//! that a stopping daemon leaves open, and clients that hold a connection by sending a head or empty
+//! lines without end.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use policy::fleet::State;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -181,3 +184,41 @@
         })
         .await;
 }
+
+#[rstest]
+#[case::a_head("GET / HTTP/1.1\r\n", "X: y\r\n", Some("HTTP/1.1 408"))]
+#[case::empty_lines("", "\r\n", None)]
+#[tokio::test]
+async fn bytes_without_end_do_not_hold_a_connection(
+    #[case] start: &str,
+    #[case] repeated: &str,
+    #[case] answer: Option<&str>,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _endpoint, address) = start_daemon().await;
+            let limits = String::from_utf8(configuration(2).to_vec()).unwrap();
+            let limits = limits
+                .replace("\"HeaderTimeoutMs\": 3000", "\"HeaderTimeoutMs\": 200")
+                .replace("\"IdleTimeoutMs\": 15000", "\"IdleTimeoutMs\": 300");
+            daemon.apply_configuration(Bytes::from(limits), 2);
+            let client = TcpStream::connect(address).await.unwrap();
+            let (mut reader, mut writer) = client.into_split();
+            let send = async {
+                writer.write_all(start.as_bytes()).await.unwrap();
+                while writer.write_all(repeated.as_bytes()).await.is_ok() {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let mut read = String::new();
+            tokio::select! {
+                () = send => {}
+                _ = reader.read_to_string(&mut read) => {}
+                () = tokio::time::sleep(Duration::from_secs(3)) => panic!("the connection stays open"),
+            }
+            if let Some(answer) = answer {
+                assert!(read.starts_with(answer), "{read}");
+            }
+        })
+        .await;
+}
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -8,12 +8,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use adapter::store::{Changes, Event, LeaseId, StoreError, Write, WriteOutcome};
+use adapter::store::{Changes, Event, Freshness, LeaseId, StoreError, Write, WriteOutcome};
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
 use policy::fleet::{Announcement, State, VmEntry};
 use policy::id::{Revision, ServiceName, VmId};
+use policy::pacing::{self, RetryDelay};
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -28,14 +29,7 @@
 
 /// Time for which one watch waits for changes. A long wait costs the store only one call, and the
 /// keepalive probes of its connection notice a silent store earlier.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Pause between watches of the fleet. Entries change in bursts, and each response to a watch costs
-/// every daemon a call; urgent changes come directly from the gates.
-const FLEET_WATCH_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Delay after a failed call to the store. Up to as much again is added at random.
-const BASE_RETRY_DELAY: Duration = Duration::from_millis(250);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Lifetime of the lease without renewal: longer than the pauses and freezes that a VM survives.
 const LEASE_LIFETIME: Duration = Duration::from_secs(8);
@@ -43,6 +37,14 @@
 /// Time between renewals of the lease: three may be lost.
 const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between renewals while the store is unreachable. A renewal is the cheapest call, so it is
+/// the one that shows when the store is back.
+const PROBE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time for which the watches wait for a renewal to show that the store is back, before they try it
+/// themselves: the store may refuse renewals and take other calls.
+const MAX_PROBE_WAIT: Duration = Duration::from_secs(3);
+
 /// Time between checks for entries that have disappeared.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -66,6 +68,8 @@
     up_to_date: Cell<bool>,
     /// Whether the fleet has been listed once.
     listed: Cell<bool>,
+    /// Whether this VM has a lease, whose renewals probe the store while it is unreachable.
+    probing: Cell<bool>,
     /// Wakes the task that keeps this VM's entry.
     write_needed: Notify,
     /// Wakes the watches when the store is reachable again.
@@ -90,11 +94,6 @@
     }
 }
 
-/// Returns the delay before the next attempt after a failed call to the store.
-fn retry_delay(daemon: &Daemon) -> Duration {
-    BASE_RETRY_DELAY.mul_f64(1.0 + daemon.rng.borrow_mut().random::<f64>())
-}
-
 impl Discovery {
     fn record_failure(&self, daemon: &Daemon, task: &str, error: &StoreError) {
         if self.unreachable_since.get().is_none() {
@@ -137,31 +136,56 @@
     /// Watches a part of the store as long as the daemon runs.
     pub async fn follow(self: Rc<Self>, daemon: Rc<Daemon>, part: StorePart) {
         let mut revision = None;
+        // A watch follows each listing, so the first one need not be current.
+        let mut freshness = Freshness::Stale;
+        let mut delay = RetryDelay::default();
         loop {
             let result = match (part, revision) {
-                (StorePart::Configuration, None) => self.read_configuration(&daemon).await,
+                (StorePart::Configuration, None) => {
+                    self.read_configuration(&daemon, freshness).await
+                }
                 (StorePart::Configuration, Some(after)) => {
                     self.watch_configuration(&daemon, after).await
                 }
-                (StorePart::Fleet, None) => self.read_fleet(&daemon).await,
+                (StorePart::Fleet, None) => self.read_fleet(&daemon, freshness).await,
                 (StorePart::Fleet, Some(after)) => self.watch_fleet(&daemon, after).await,
             };
             match result {
                 Ok(next) => {
                     self.record_success(&daemon);
+                    delay.reset();
                     revision = Some(next);
                 }
-                Err(StoreError::Compacted) => revision = None,
+                Err(StoreError::Compacted) => {
+                    freshness = Freshness::Current;
+                    revision = None;
+                }
                 Err(error) => {
                     self.record_failure(&daemon, part.name(), &error);
-                    tokio::time::sleep(retry_delay(&daemon)).await;
+                    self.wait_for_store(delay.next(random(&daemon))).await;
                 }
             }
         }
     }
 
-    async fn read_configuration(&self, daemon: &Daemon) -> Result<Revision, StoreError> {
-        let listing = daemon.store.list(CONFIGURATION_PREFIX).await?;
+    /// Waits before the next attempt of a watch after a failed call: for a delay or, where renewals
+    /// probe the store, until one of them succeeds.
+    async fn wait_for_store(&self, delay: Duration) {
+        if self.probing.get() {
+            let wait = MAX_PROBE_WAIT + delay;
+            // A timeout is the fallback for a store that refuses renewals alone.
+            drop(tokio::time::timeout(wait, self.reachable.notified()).await);
+        } else {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    async fn read_configuration(
+        &self,
+        daemon: &Daemon,
+        freshness: Freshness,
+    ) -> Result<Revision, StoreError> {
+        let listing = daemon.store.list(CONFIGURATION_PREFIX, freshness).await?;
         for item in listing.items {
             if item.key == CONFIGURATION_KEY {
                 daemon.apply_configuration(Bytes::from(item.value), item.revision);
@@ -187,8 +211,12 @@
         Ok(changes.revision.max(after))
     }
 
-    async fn read_fleet(&self, daemon: &Rc<Daemon>) -> Result<Revision, StoreError> {
-        let listing = daemon.store.list(VM_PREFIX).await?;
+    async fn read_fleet(
+        &self,
+        daemon: &Rc<Daemon>,
+        freshness: Freshness,
+    ) -> Result<Revision, StoreError> {
+        let listing = daemon.store.list(VM_PREFIX, freshness).await?;
         let mut vms = Vec::with_capacity(listing.items.len());
         let mut own = 0;
         for item in listing.items {
@@ -208,7 +236,7 @@
         }
         self.listed.set(true);
         self.write_needed.notify_one();
-        tokio::time::sleep(FLEET_WATCH_INTERVAL).await;
+        pause_watch(daemon).await;
         Ok(listing.revision)
     }
 
@@ -237,7 +265,7 @@
                 }
             }
         }
-        tokio::time::sleep(FLEET_WATCH_INTERVAL).await;
+        pause_watch(daemon).await;
         Ok(changes.revision.max(after))
     }
 
@@ -318,17 +346,23 @@
     pub async fn keep_entry(self: Rc<Self>, daemon: Rc<Daemon>) {
         let mut lease: Option<LeaseId> = None;
         let mut renewed = daemon.clock.now();
+        let mut delay = RetryDelay::default();
         loop {
+            self.probing.set(lease.is_some());
+            let interval = if self.unreachable_since.get().is_some() {
+                PROBE_INTERVAL
+            } else {
+                LEASE_RENEWAL_INTERVAL
+            };
             tokio::select! {
                 () = daemon.entry_changed.notified() => self.up_to_date.set(false),
                 () = self.write_needed.notified() => {}
-                () = tokio::time::sleep(LEASE_RENEWAL_INTERVAL) => {}
+                () = tokio::time::sleep(interval) => {}
             }
             if !self.listed.get() || daemon.vm_entry().is_none() {
                 continue;
             }
-            let must_renew =
-                daemon.clock.now().saturating_duration_since(renewed) >= LEASE_RENEWAL_INTERVAL;
+            let must_renew = daemon.clock.now().saturating_duration_since(renewed) >= interval;
             if let Some(id) = lease.filter(|_| must_renew) {
                 match self.renew(&daemon, id).await {
                     Some(true) => renewed = daemon.clock.now(),
@@ -340,10 +374,13 @@
                 continue;
             }
             match self.write_entry(&daemon, &mut lease, &mut renewed).await {
-                Ok(()) => self.record_success(&daemon),
+                Ok(()) => {
+                    self.record_success(&daemon);
+                    delay.reset();
+                }
                 Err(error) => {
                     self.record_failure(&daemon, "entry", &error);
-                    tokio::time::sleep(retry_delay(&daemon)).await;
+                    tokio::time::sleep(delay.next(random(&daemon))).await;
                     self.write_needed.notify_one();
                 }
             }
@@ -473,6 +510,17 @@
     }
 }
 
+/// Returns a random number from 0 to 1.
+fn random(daemon: &Daemon) -> f64 {
+    daemon.rng.borrow_mut().random()
+}
+
+/// Pauses before the next watch of the fleet. Urgent changes come directly from the gates.
+async fn pause_watch(daemon: &Daemon) {
+    let daemons = daemon.fleet.borrow().len();
+    tokio::time::sleep(pacing::watch_pause(daemons)).await;
+}
+
 /// Whether to ask another daemon for its state, given the times for which the store has been
 /// unreachable and since the last request.
 ///
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -4,7 +4,7 @@
 //! only when nothing unexpected came over it; a stray response that arrives late is recognised by
 //! its id.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,9 @@
 
 use crate::frame::{NotRun, Unknown};
 
+#[cfg(test)]
+mod tests;
+
 /// Time to open a connection to the endpoint, which is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -37,7 +40,14 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Largest body of a response.
-const MAX_BODY_BYTES: usize = 64 << 20;
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Largest total of incomplete responses on all connections. The smallest VMs have 160 MB for the
+/// daemon, and a growing buffer can take twice its content for a moment.
+const MAX_HELD_BYTES: usize = 32 << 20;
+
+/// Informational responses (1xx) that may precede a response.
+const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 
 /// Responses to other requests that are skipped before the connection is closed.
 const MAX_STRAY_RESPONSES: usize = 2;
@@ -77,6 +87,29 @@
 pub struct Pool {
     address: SocketAddr,
     idle: RefCell<Vec<Idle>>,
+    /// Bytes of incomplete responses on all connections.
+    held_bytes: Cell<usize>,
+}
+
+/// Share of one connection in [`Pool::held_bytes`], which it gives back when dropped.
+struct HeldBytes<'a> {
+    total: &'a Cell<usize>,
+    own: usize,
+}
+
+impl HeldBytes<'_> {
+    /// Sets the bytes that the connection holds; returns whether the total is within its limit.
+    fn set(&mut self, bytes: usize) -> bool {
+        self.total.set(self.total.get() - self.own + bytes);
+        self.own = bytes;
+        self.total.get() <= MAX_HELD_BYTES
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
 }
 
 impl Pool {
@@ -86,6 +119,7 @@
         Self {
             address,
             idle: RefCell::new(Vec::new()),
+            held_bytes: Cell::new(0),
         }
     }
 
@@ -99,7 +133,7 @@
         outgoing: &Outgoing<'_>,
         encode: impl FnOnce() -> Result<Vec<u8>, NotRun>,
     ) -> Exchange {
-        let Some(mut stream) = self.connection(clock, outgoing.idempotent).await else {
+        let Some((mut stream, reused)) = self.connection(clock, outgoing.idempotent).await else {
             return Exchange::NotSent(NotRun::Unreachable);
         };
         let bytes = match encode() {
@@ -109,9 +143,17 @@
                 return Exchange::NotSent(reason);
             }
         };
-        let received = transfer(&mut stream, &bytes, outgoing.id).await;
+        let held = HeldBytes {
+            total: &self.held_bytes,
+            own: 0,
+        };
+        let received = transfer(&mut stream, &bytes, outgoing.id, held).await;
         match received {
             Err(reason) => Exchange::Failed(reason),
+            // Only an id tells a response from a late copy of an earlier one.
+            Ok(received) if reused && !response::has_id(&received.message.head) => {
+                Exchange::Failed(Unknown::Damaged)
+            }
             Ok(received) => {
                 let response = response::decode(&received.message);
                 if received.reusable && !response.close {
@@ -140,17 +182,17 @@
         }
     }
 
-    /// Returns an idle connection or opens a new one.
-    async fn connection(&self, clock: &dyn Clock, idempotent: bool) -> Option<TcpStream> {
+    /// Returns an idle connection or opens a new one, and whether it has been used before.
+    async fn connection(&self, clock: &dyn Clock, idempotent: bool) -> Option<(TcpStream, bool)> {
         if let Some(stream) = self.idle_connection(clock.now(), idempotent) {
-            return Some(stream);
+            return Some((stream, true));
         }
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
             .ok()?
             .ok()?;
         transport::socket::tune(&stream).ok()?;
-        Some(stream)
+        Some((stream, false))
     }
 
     /// Removes the most recently used connection that is fit for a request.
@@ -186,11 +228,16 @@
 }
 
 /// Sends a request and reads its response at the same time.
-async fn transfer(stream: &mut TcpStream, bytes: &[u8], id: &str) -> Result<Received, Unknown> {
+async fn transfer(
+    stream: &mut TcpStream,
+    bytes: &[u8],
+    id: &str,
+    held: HeldBytes<'_>,
+) -> Result<Received, Unknown> {
     let (mut reader, mut writer) = stream.split();
     let mut sent = false;
     let sending = writer.write_all(bytes);
-    let receiving = receive(&mut reader, id);
+    let receiving = receive(&mut reader, id, held);
     tokio::pin!(sending, receiving);
     loop {
         tokio::select! {
@@ -210,14 +257,23 @@
     }
 }
 
-/// Reads the response with an id; skips informational and stray responses.
-async fn receive(reader: &mut ReadHalf<'_>, id: &str) -> Result<Received, Unknown> {
+/// Reads the response with an id; skips a few informational and stray responses.
+async fn receive(
+    reader: &mut ReadHalf<'_>,
+    id: &str,
+    mut held: HeldBytes<'_>,
+) -> Result<Received, Unknown> {
     let mut decoder = Decoder::new(MessageKind::Response, MAX_HEAD_BYTES, MAX_BODY_BYTES);
     let mut buffer = BytesMut::with_capacity(8 << 10);
     let mut stray = 0;
+    let mut informational = 0;
     loop {
         while let Some(message) = decoder.take(&mut buffer).map_err(|_| Unknown::Damaged)? {
             if message.head.status < 200 {
+                informational += 1;
+                if informational > MAX_INFORMATIONAL_RESPONSES {
+                    return Err(Unknown::Damaged);
+                }
                 continue;
             }
             if response::matches_request(&message.head, id) {
@@ -229,6 +285,9 @@
                 return Err(Unknown::Damaged);
             }
         }
+        if !held.set(decoder.held_bytes() + buffer.len()) {
+            return Err(Unknown::Damaged);
+        }
         match reader.read_buf(&mut buffer).await {
             Ok(0) => {
                 let message = decoder.handle_close().ok_or(Unknown::Disconnected)?;
--- /dev/null
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -0,0 +1,198 @@
+//! Guards against endpoints that send bytes without end, which would fill the memory of the daemon
+//! or hold a slot until the deadline, and against late copies of responses that are taken for the
+//! response to the next request on the connection.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::request::{self, ForwardedRequest};
+use policy::clock::SystemClock;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+use super::{Exchange, MAX_BODY_BYTES, MAX_HELD_BYTES, Outgoing, Pool};
+use crate::frame::Unknown;
+
+const RESPONSE: &str = include_str!("../../../../platform/examples/answer.http");
+
+/// Longest time for which endless bytes may keep a call waiting. Calls have at least 700 ms.
+const BOUND: Duration = Duration::from_millis(500);
+
+fn encoded(id: &str) -> Vec<u8> {
+    let forward = ForwardedRequest {
+        id,
+        method: "GET",
+        target: "/",
+        fields: b"",
+        length: 0,
+        left: Duration::from_secs(1),
+        instance: "i-1",
+        caller: "vitrina",
+    };
+    let mut bytes = Vec::new();
+    request::encode(&forward, &mut bytes);
+    bytes
+}
+
+async fn exchange(pool: &Pool, id: &str) -> Exchange {
+    let outgoing = Outgoing {
+        id,
+        idempotent: true,
+    };
+    pool.exchange(&SystemClock::new(), &outgoing, || Ok(encoded(id)))
+        .await
+}
+
+/// Accepts a connection and reads one request from it.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read_request(&mut stream).await;
+    stream
+}
+
+async fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\n") {
+        assert!(stream.read_buf(&mut request).await.unwrap() > 0);
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Returns the head of a response with further lines.
+fn head(lines: &str) -> String {
+    let (head, _) = RESPONSE.split_once("Content-Length").unwrap();
+    format!("{}{lines}\r\n", head.replace("ID", "a"))
+}
+
+#[rstest]
+#[case::informational("", "HTTP/1.1 102 Processing\r\n\r\n")]
+#[case::head("HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789abcdef\r\n")]
+#[case::one_field("HTTP/1.1 200 OK\r\nX-Filler: ", "0123456789abcdef")]
+#[case::body(&head(""), "0123456789abcdef")]
+#[case::chunks(&head("Transfer-Encoding: chunked\r\n"), "10\r\n0123456789abcdef\r\n")]
+#[case::chunk_extension(&head("Transfer-Encoding: chunked\r\n"), ";extension=0123456789abcdef")]
+#[case::trailer(&(head("Transfer-Encoding: chunked\r\n") + "0\r\n"), "X-Filler: 0123456789abcdef\r\n")]
+#[case::empty_lines("", "\r\n\r\n\r\n\r\n")]
+#[case::responses_to_others(
+    "",
+    "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n"
+)]
+#[tokio::test]
+async fn a_response_without_end_fails_and_closes_the_connection(
+    #[case] start: &str,
+    #[case] repeated: &str,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let endless = async {
+                let mut stream = accept(&listener).await;
+                let _ = stream.write_all(start.as_bytes()).await;
+                let part = repeated.repeat((64 << 10) / repeated.len());
+                let mut sent = 0;
+                while stream.write_all(part.as_bytes()).await.is_ok() {
+                    sent += part.len();
+                    assert!(sent < 2 * MAX_BODY_BYTES + (16 << 20), "still reading");
+                }
+            };
+            let (outcome, ()) = timeout(BOUND * 10, async {
+                tokio::join!(exchange(&pool, "a"), endless)
+            })
+            .await
+            .expect("the connection is closed");
+            assert!(
+                matches!(outcome, Exchange::Failed(Unknown::Damaged)),
+                "{outcome:?}"
+            );
+            assert!(pool.idle.borrow().is_empty());
+            assert_eq!(pool.held_bytes.get(), 0);
+        })
+        .await;
+}
+
+/// Guards against many large responses that each keep their limit and together exceed the memory of
+/// the VM.
+#[tokio::test]
+async fn incomplete_responses_together_stay_under_one_limit() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Rc::new(Pool::new(address));
+            let length = MAX_BODY_BYTES;
+            let count = MAX_HELD_BYTES / length + 2;
+            let mut calls = Vec::new();
+            let mut endpoints = Vec::new();
+            for _ in 0..count {
+                let pool = Rc::clone(&pool);
+                calls.push(tokio::task::spawn_local(async move {
+                    exchange(&pool, "a").await
+                }));
+                let mut stream = accept(&listener).await;
+                let head = head(&format!("Content-Length: {length}\r\n"));
+                endpoints.push(tokio::task::spawn_local(async move {
+                    let part = vec![b'x'; length - 1];
+                    stream.write_all(head.as_bytes()).await.unwrap();
+                    let _ = stream.write_all(&part).await;
+                    // The rest never comes.
+                    stream
+                }));
+            }
+            let mut failed = 0;
+            for _ in 0..200 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                failed = calls.iter().filter(|call| call.is_finished()).count();
+                assert!(pool.held_bytes.get() <= MAX_HELD_BYTES + (1 << 20));
+                if failed + MAX_HELD_BYTES / length >= count {
+                    break;
+                }
+            }
+            assert!(failed >= 1, "no response was given up");
+            assert!(failed < count, "all responses were given up");
+            for call in &calls {
+                call.abort();
+            }
+        })
+        .await;
+}
+
+/// Guards against a late refusal without an id that ends the next request on the connection as not
+/// run, although the endpoint runs it.
+#[tokio::test]
+async fn a_late_response_without_an_id_is_not_the_next_ones() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let endpoint = async {
+                let mut stream = accept(&listener).await;
+                let response = RESPONSE.replace("ID", "a");
+                stream.write_all(response.as_bytes()).await.unwrap();
+                read_request(&mut stream).await;
+                let late = "HTTP/1.1 503 Service Unavailable\r\n\
+                    X-Sapphiredoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(late.as_bytes()).await.unwrap();
+                stream
+            };
+            let calls = async {
+                let first = exchange(&pool, "a").await;
+                assert!(matches!(first, Exchange::Answered(..)), "{first:?}");
+                exchange(&pool, "b").await
+            };
+            let (_stream, second) = tokio::join!(endpoint, calls);
+            assert!(
+                matches!(second, Exchange::Failed(Unknown::Damaged)),
+                "{second:?}"
+            );
+        })
+        .await;
+}
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -25,7 +25,7 @@
 const PREFIX_BYTES: usize = 8;
 
 /// Largest size of a frame without its prefix: the largest body of a deployment and its head.
-const MAX_FRAME_BYTES: usize = 80 << 20;
+const MAX_FRAME_BYTES: usize = 24 << 20;
 
 /// Factor from a fraction to its value on the wire, which is in thousandths.
 pub const SHARE_SCALE: f64 = 1_000.0;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -140,6 +140,8 @@
     head: Option<Head>,
     body: BytesMut,
     chunk: ChunkState,
+    /// Bytes of the trailer section read so far.
+    trailer_bytes: usize,
 }
 
 impl Decoder {
@@ -153,6 +155,7 @@
             head: None,
             body: BytesMut::new(),
             chunk: ChunkState::Size,
+            trailer_bytes: 0,
         }
     }
 
@@ -169,6 +172,12 @@
         self.head.as_ref()
     }
 
+    /// Returns the bytes of the incomplete body that are held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Takes the bytes of the next message from the buffer.
     ///
     /// Returns the message once it is complete, and `None` when more bytes are needed.
@@ -220,6 +229,7 @@
     fn finish(&mut self) -> Option<Message> {
         let head = self.head.take()?;
         self.chunk = ChunkState::Size;
+        self.trailer_bytes = 0;
         let body = std::mem::take(&mut self.body).freeze();
         Some(Message { head, body })
     }
@@ -299,6 +309,11 @@
                     if line.is_empty() {
                         return Ok(true);
                     }
+                    // Trailer fields are dropped, so only their total length bounds them.
+                    self.trailer_bytes += line.len();
+                    if self.trailer_bytes > self.max_head {
+                        return Err(DecodeError::Framing);
+                    }
                 }
             }
         }
