Divide the retry budget between the gates of a service

Resent calls were admitted at twice the share but counted as half the demand, so more was admitted than fits.

Change: a service has few gates, so each gate grants an equal part. Nested calls of retried runs are counted. Calls say whether they were offered before, are retries or belong to one (protocol 2). Resent calls carry the share of new ones. Queue order by the remaining time of the chain; chains that cannot end in time make no further calls (policy::progress).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limit;
 pub mod member;
 pub mod pacing;
+pub mod progress;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,25 +1,22 @@
-//! Retry budget of a daemon.
+//! Retry budget of a service, divided between its gates.
 //!
-//! Prevents retry storms. The operators bound the attempts beyond the first of each call, summed
-//! over all daemons and any window. A daemon learns too late what the others spend, so it spends
-//! only a fraction of the bound divided by the number of daemons, and a fraction of what the calls
-//! of its own clients add.
+//! Prevents retry storms. The operators bound the attempts beyond the first of each call to a
+//! service, summed over all daemons and any window. Each gate spends an equal part of the bound: a
+//! service has a few gates while hundreds of daemons call it, and a part for each daemon would be
+//! less than one retry. Nested calls of a run that was itself a retry count as retries too. They
+//! are not refused, but reduce what is left for others.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::id::ServiceName;
-
 #[cfg(test)]
 mod tests;
 
 /// Largest fraction of the fixed allowance that is spent at once. As much again is refilled over a
-/// window, so both together stay under the allowance. The margin is for calls that run again: their
-/// nested calls count as retries at the dependencies.
-const SLACK_FRACTION: f64 = 0.25;
+/// window, so both together stay under the allowance.
+const SLACK_FRACTION: f64 = 0.4;
 
 /// Fraction of the allowance for each call that is spent, with the same margin.
-const RATIO_FRACTION: f64 = 0.4;
+const RATIO_FRACTION: f64 = 0.8;
 
 /// Bound on retries that the operators set.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,26 +29,24 @@
     pub window: Duration,
 }
 
+/// One gate's part of the retry budget of its service.
 #[derive(Debug)]
-struct Bucket {
+pub struct RetryBudget {
+    bound: RetryBound,
+    /// Retries that may be spent now. Negative after nested calls of retried runs.
     tokens: f64,
     filled_at: Instant,
 }
 
-/// This daemon's part of the retry budget of the fleet.
-#[derive(Debug)]
-pub struct FleetRetryBudget {
-    bound: RetryBound,
-    buckets: HashMap<ServiceName, Bucket>,
-}
-
-impl FleetRetryBudget {
-    /// Creates a budget under a bound.
+impl RetryBudget {
+    /// Creates an empty budget under a bound. An earlier process of this gate may have spent its
+    /// part a moment ago.
     #[must_use]
-    pub fn new(bound: RetryBound) -> Self {
+    pub fn new(bound: RetryBound, now: Instant) -> Self {
         Self {
             bound,
-            buckets: HashMap::new(),
+            tokens: 0.0,
+            filled_at: now,
         }
     }
 
@@ -60,51 +55,43 @@
         self.bound = bound;
     }
 
-    /// Records the first attempt of a client's call to a service, in a fleet of this many daemons.
-    pub fn record_call(&mut self, now: Instant, service: &ServiceName, daemons: usize) {
+    /// Records the first attempt of a client's call, in a service with this many gates.
+    pub fn record_call(&mut self, now: Instant, gates: usize) {
+        let max = self.refill(now, gates);
         let earned = self.bound.ratio * RATIO_FRACTION;
-        let max_tokens = self.max_tokens(daemons);
-        let bucket = self.refilled_bucket(now, service, daemons);
-        bucket.tokens = (bucket.tokens + earned).min(max_tokens.max(1.0));
+        self.tokens = (self.tokens + earned).min(max.max(1.0));
+    }
+
+    /// Records a nested call of a run that was itself a retry.
+    pub fn record_repeat(&mut self, now: Instant, gates: usize) {
+        self.refill(now, gates);
+        self.tokens -= 1.0;
     }
 
-    /// Spends one retry of a call to a service; returns whether one was left.
-    pub fn try_take(&mut self, now: Instant, service: &ServiceName, daemons: usize) -> bool {
-        let bucket = self.refilled_bucket(now, service, daemons);
-        let granted = bucket.tokens >= 1.0;
+    /// Spends one retry; returns whether one was left.
+    pub fn try_take(&mut self, now: Instant, gates: usize) -> bool {
+        self.refill(now, gates);
+        let granted = self.tokens >= 1.0;
         if granted {
-            bucket.tokens -= 1.0;
+            self.tokens -= 1.0;
         }
         granted
     }
 
-    fn max_tokens(&self, daemons: usize) -> f64 {
-        self.bound.slack * SLACK_FRACTION / daemons.max(1) as f64
+    /// Returns a retry that did not reach the endpoint.
+    pub fn give_back(&mut self) {
+        self.tokens += 1.0;
     }
 
-    fn refilled_bucket(
-        &mut self,
-        now: Instant,
-        service: &ServiceName,
-        daemons: usize,
-    ) -> &mut Bucket {
-        let max_tokens = self.max_tokens(daemons);
-        let rate = max_tokens / self.bound.window.as_secs_f64().max(0.001);
-        let bucket = self
-            .buckets
-            .entry(ServiceName::clone(service))
-            .or_insert(Bucket {
-                tokens: max_tokens,
-                filled_at: now,
-            });
-        let refill = now
-            .saturating_duration_since(bucket.filled_at)
-            .as_secs_f64()
-            * rate;
-        if bucket.tokens < max_tokens {
-            bucket.tokens = (bucket.tokens + refill).min(max_tokens);
+    /// Adds what the time since the last call gives; returns the largest balance.
+    fn refill(&mut self, now: Instant, gates: usize) -> f64 {
+        let max = self.bound.slack * SLACK_FRACTION / gates.max(1) as f64;
+        let rate = max / self.bound.window.as_secs_f64().max(0.001);
+        let passed = now.saturating_duration_since(self.filled_at);
+        if self.tokens < max {
+            self.tokens = (self.tokens + passed.as_secs_f64() * rate).min(max);
         }
-        bucket.filled_at = now;
-        bucket
+        self.filled_at = now;
+        max
     }
 }
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -69,7 +69,8 @@
 /// Decision on a new chain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ThrottleDecision {
-    /// It is admitted, at this admission share.
+    /// It is admitted. The share is that of new chains, also for a resent call: the demand that a
+    /// gate derives from it then includes what resent calls add.
     Admitted(f64),
     /// It is refused.
     Refused,
@@ -158,12 +159,8 @@
         if route.rank == 0 || share >= 1.0 {
             return ThrottleDecision::Admitted(1.0);
         }
-        let share = if resent {
-            (share * RESENT_SHARE_FACTOR).min(1.0)
-        } else {
-            share
-        };
-        state.credit += share;
+        let factor = if resent { RESENT_SHARE_FACTOR } else { 1.0 };
+        state.credit += (share * factor).min(1.0);
         if state.credit >= 1.0 {
             state.credit -= 1.0;
             return ThrottleDecision::Admitted(share);
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -95,6 +95,23 @@
     assert_eq!(admitted(&mut throttle, &catalogo, MS * 4_500, 0.4), 80);
 }
 
+/// Guards against gates that see twice the work for which they gave out shares: each resent call is
+/// admitted at twice the share of a new one, and must count as much demand as it adds.
+#[test]
+fn a_resent_call_carries_the_share_of_a_new_one() {
+    let mut throttle = trained_throttle();
+    let catalogo = route("catalogo", 1);
+    admitted(&mut throttle, &catalogo, MS * 5_000, 0.4);
+    let decisions = (0..10).map(|_| decide(&mut throttle, &catalogo, MS * 4_500, 0.4));
+    let shares: Vec<f64> = decisions
+        .filter_map(|decision| match decision {
+            ThrottleDecision::Admitted(share) => Some(share),
+            ThrottleDecision::Refused => None,
+        })
+        .collect();
+    assert_eq!(shares, [0.4; 8]);
+}
+
 #[test]
 fn a_refused_client_is_told_to_resend_while_it_can_be_served_in_time() {
     let throttle = trained_throttle();
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -12,7 +12,6 @@
 use policy::clock::Clock;
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
-use policy::retry::FleetRetryBudget;
 use policy::routing::{Configuration, WeightedSplitter};
 use policy::selection::{Headroom, ResponseSizes};
 use policy::throttle::EntryThrottle;
@@ -71,8 +70,6 @@
     pub splitter: RefCell<WeightedSplitter>,
     /// Mean response sizes of the routes.
     pub sizes: RefCell<ResponseSizes>,
-    /// This daemon's part of the retry budget of the fleet.
-    pub budget: RefCell<FleetRetryBudget>,
     /// Decides which new chains are admitted.
     pub throttle: RefCell<EntryThrottle>,
     /// Random numbers for retry delays and for choices between equal candidates.
@@ -111,10 +108,13 @@
             fleet: RefCell::new(Fleet::new()),
             peers: Peers::default(),
             subscribers: Subscribers::default(),
-            gate: Gate::new(settings.endpoint.address, clock.now()),
+            gate: Gate::new(
+                settings.endpoint.address,
+                settings.bounds.retry_bound(),
+                clock.now(),
+            ),
             splitter: RefCell::new(WeightedSplitter::new(rng.random())),
             sizes: RefCell::default(),
-            budget: RefCell::new(FleetRetryBudget::new(settings.bounds.retry_bound())),
             throttle: RefCell::new(EntryThrottle::new(rng.random())),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -18,8 +18,8 @@
 use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, CallKind, Load, NotRun, SHARE_SCALE, Unknown};
-use crate::gate::{Deadline, Job, JobId, Outcome, OutcomeSender};
+use crate::frame::{CallHead, CallHistory, CallKind, Load, NotRun, SHARE_SCALE, Unknown};
+use crate::gate::{Deadline, Job, JobId, NestedCall, Outcome, OutcomeSender};
 use crate::peer::SentCall;
 
 #[cfg(test)]
@@ -197,13 +197,12 @@
             }
         },
     };
-    // Nested calls add nothing to the retry budget: the operators' bound counts calls of clients.
-    if parent.is_none() {
-        let daemons = daemon.fleet.borrow().len();
-        daemon
-            .budget
-            .borrow_mut()
-            .record_call(arrived, &service, daemons);
+    let nested = parent
+        .as_ref()
+        .map(|parent| daemon.gate.count_nested(daemon, parent));
+    if nested.is_some_and(|nested| nested.is_late) {
+        let refusal = Refusal::NotRun(NotRun::Late);
+        return refuse(daemon, arrived, &request, Some(&route), refusal);
     }
     let call = Call {
         daemon,
@@ -213,7 +212,7 @@
         deadline,
         arrived,
         share,
-        nested: parent.is_some(),
+        nested,
     };
     match call.run().await {
         Ok(EndpointResponse {
@@ -321,8 +320,8 @@
     arrived: Instant,
     /// Admission share of its chain, in thousandths; `None` for urgent work.
     share: Option<u16>,
-    /// Whether it was made while serving another call.
-    nested: bool,
+    /// Its position in its chain, if it was made while serving another call.
+    nested: Option<NestedCall>,
 }
 
 impl Call<'_> {
@@ -335,7 +334,12 @@
             let Some(vm) = self.pick(&tried) else {
                 break;
             };
-            let Some(mut sent) = self.send(&vm) else {
+            let history = CallHistory {
+                offered: !tried.is_empty(),
+                retry: attempts.delivered() > 0,
+                of_retry: self.nested.is_some_and(|nested| nested.of_retry),
+            };
+            let Some(mut sent) = self.send(&vm, history) else {
                 tried.push(vm);
                 continue;
             };
@@ -376,13 +380,14 @@
             };
             let retry = match attempts.record_failure(failure) {
                 RetryDecision::TryOther => true,
-                RetryDecision::Retry => self.may_retry(now, attempts.delivered()),
+                // The next gate decides whether its part of the retry budget allows it.
+                RetryDecision::Retry => {
+                    self.log_retry(now, attempts.delivered());
+                    true
+                }
                 RetryDecision::GiveUp => false,
             };
-            if !retry {
-                break;
-            }
-            if now >= self.deadline.at {
+            if !retry || now >= self.deadline.at {
                 break;
             }
             tried.push(vm);
@@ -403,21 +408,11 @@
         }
     }
 
-    /// Takes a retry from the budget; returns whether there was one.
-    fn may_retry(&self, now: Instant, delivered: u32) -> bool {
-        let daemons = self.daemon.fleet.borrow().len();
-        let granted = self
-            .daemon
-            .budget
-            .borrow_mut()
-            .try_take(now, &self.service, daemons);
-        if granted {
-            self.daemon.metrics.retries.inc();
-        }
+    fn log_retry(&self, now: Instant, delivered: u32) {
+        self.daemon.metrics.retries.inc();
         if self.daemon.log_limiter.allows(now, "call_repeat") {
-            info!(event = "call_repeat", id = &*self.request.id, route = &*self.route.name, arrivals = delivered, granted = granted, age_ms = now.saturating_duration_since(self.arrived).as_millis() as u64; "");
+            info!(event = "call_repeat", id = &*self.request.id, route = &*self.route.name, arrivals = delivered, age_ms = now.saturating_duration_since(self.arrived).as_millis() as u64; "");
         }
-        granted
     }
 
     /// Picks the VM for the next attempt, apart from those that were tried.
@@ -430,7 +425,7 @@
             .filter(|vm| !tried.contains(vm))
             .map(|vm| (vm, self.daemon.peers.get(vm)))
             .collect();
-        let dependencies = if self.nested {
+        let dependencies = if self.nested.is_some() {
             Vec::new()
         } else {
             self.daemon.throttle.borrow().dependencies(&self.route.name)
@@ -462,7 +457,7 @@
         let random = self.daemon.rng.borrow_mut().random::<u32>() as usize;
         let penalty = self.daemon.sizes.borrow().remote_penalty(self.route);
         // A chain makes its nested calls one after another, so their waiting times add up.
-        let penalty = if self.nested {
+        let penalty = if self.nested.is_some() {
             penalty / NESTED_PENALTY_DIVISOR
         } else {
             penalty
@@ -471,7 +466,7 @@
     }
 
     /// Sends the call to the gate of a VM; returns `None` if the connection takes no more.
-    fn send(&self, vm: &VmId) -> Option<Sent> {
+    fn send(&self, vm: &VmId, history: CallHistory) -> Option<Sent> {
         let daemon = self.daemon;
         let fleet = daemon.fleet.borrow();
         let entry = fleet.get(vm)?;
@@ -480,6 +475,10 @@
             id: self.request.id.clone(),
             left_us: left.as_micros() as u64,
             share: self.share,
+            history,
+            remaining_ms: self
+                .nested
+                .map_or(0, |nested| nested.remaining.as_millis() as u32),
             target: self.request.target.clone(),
             kind: CallKind {
                 instance: entry.endpoint.instance.to_string(),
@@ -487,7 +486,7 @@
                 route: self.route.name.to_string(),
                 rank: self.route.rank,
                 idempotent: self.route.retry_safety == RetrySafety::Idempotent,
-                nested: self.nested,
+                nested: self.nested.is_some(),
                 method: self.request.method.clone(),
                 fields: self.request.fields.clone(),
             },
@@ -530,7 +529,7 @@
             }
             // A broken connection has been recorded by the peer, and a damaged response is no
             // reason to eject the endpoint.
-            Outcome::NotRun(NotRun::Busy | NotRun::Late | NotRun::Cancelled)
+            Outcome::NotRun(NotRun::Busy | NotRun::Late | NotRun::Cancelled | NotRun::Budget)
             | Outcome::Unknown(_) => {}
             Outcome::NotRun(_) => stats.record_failure(now),
         }
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -19,7 +19,7 @@
 mod tests;
 
 /// Version of this protocol. A daemon refuses connections with another version.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
@@ -85,6 +85,18 @@
     pub fields: Vec<u8>,
 }
 
+/// What happened to a call before it is sent to a gate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CallHistory {
+    /// Whether another gate got it before.
+    pub offered: bool,
+    /// Whether an earlier attempt reached, or may have reached, an endpoint.
+    pub retry: bool,
+    /// Whether it was made by a run that was itself a retry, or by a nested call of one.
+    pub of_retry: bool,
+}
+
 /// Head of a call that is sent to a gate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallHead {
@@ -94,6 +106,10 @@
     pub left_us: u64,
     /// Admission share at which its chain was admitted, in thousandths; `None` for urgent work.
     pub share: Option<u16>,
+    /// What happened to it before.
+    pub history: CallHistory,
+    /// Time that its chain needs after it, in milliseconds.
+    pub remaining_ms: u32,
     /// Path and query.
     pub target: String,
     /// Fields that it shares with other calls.
@@ -132,6 +148,8 @@
     Unreachable,
     /// The endpoint refused it; this counts as delivered.
     Rejected,
+    /// It is a retry, and the gate's part of the retry budget is spent.
+    Budget,
     /// The caller no longer waits.
     Cancelled,
 }
@@ -244,6 +262,8 @@
         id: CallId,
         left_us: u64,
         share: Option<u16>,
+        history: CallHistory,
+        remaining_ms: u32,
         target: String,
         kind: Interned<CallKind>,
     },
@@ -384,6 +404,8 @@
                 id: CallId::new(&call.id),
                 left_us: call.left_us,
                 share: call.share,
+                history: call.history,
+                remaining_ms: call.remaining_ms,
                 target: call.target.clone(),
                 kind: intern(&mut self.kinds, &call.kind),
             },
@@ -463,6 +485,8 @@
                 id,
                 left_us,
                 share,
+                history,
+                remaining_ms,
                 target,
                 kind,
             } => {
@@ -470,6 +494,8 @@
                     id: id.into_text(),
                     left_us,
                     share,
+                    history,
+                    remaining_ms,
                     target,
                     kind: resolve(&mut self.kinds, kind)?,
                 };
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use rstest::rstest;
 
-use super::{CallHead, CallKind, Decoder, Encoder, Frame, Load, NotRun};
+use super::{CallHead, CallHistory, CallKind, Decoder, Encoder, Frame, Load, NotRun};
 
 fn call(id: &str, route: &str) -> Frame {
     Frame::Call {
@@ -12,6 +12,11 @@
             id: id.to_owned(),
             left_us: 1_000,
             share: Some(500),
+            history: CallHistory {
+                retry: true,
+                ..CallHistory::default()
+            },
+            remaining_ms: 450,
             target: "/a/b".to_owned(),
             kind: CallKind {
                 instance: "i-1".to_owned(),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -15,14 +15,18 @@
 use policy::demand::{DemandClass, DemandEstimator};
 use policy::fleet::{Announcement, State};
 use policy::id::ServiceName;
-use policy::queue::{EndpointQueue, EnqueueOutcome, QueuedCall, TimeEstimate, WaitingId};
+use policy::progress::{self, Progress};
+use policy::queue::{EndpointQueue, EnqueueOutcome, QueuedCall, WaitingId};
+use policy::retry::{RetryBound, RetryBudget};
 use policy::selection;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
 use crate::daemon::Daemon;
 use crate::endpoint::{Exchange, Outgoing, Pool};
-use crate::frame::{CallHead, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown};
+use crate::frame::{
+    CallHead, CallHistory, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown,
+};
 use crate::outbox::Outbox;
 
 #[cfg(test)]
@@ -191,14 +195,44 @@
 }
 
 /// A running call, as the parent of the nested calls that the endpoint makes for it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ParentCall {
     /// Admission share at which its chain was admitted; `None` for urgent work.
     pub share: Option<u16>,
+    history: CallHistory,
+    route: String,
+    deadline: Deadline,
+    /// Time that the chain needs after it.
+    remaining: Duration,
+    /// Nested calls made so far.
+    made: Cell<u32>,
     usage: RefCell<BTreeMap<ServiceName, u32>>,
 }
 
+/// A nested call as its gate sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct NestedCall {
+    /// Whether the run that made it was itself a retry.
+    pub of_retry: bool,
+    /// Time that its chain needs after it.
+    pub remaining: Duration,
+    /// Whether its chain can no longer end in time.
+    pub is_late: bool,
+}
+
 impl ParentCall {
+    fn new(job: &Job) -> Self {
+        Self {
+            share: job.call.share,
+            history: job.call.history,
+            route: job.call.kind.route.clone(),
+            deadline: job.deadline,
+            remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
+            made: Cell::new(0),
+            usage: RefCell::default(),
+        }
+    }
+
     /// Counts an answered nested call to a service, and the calls that it led to.
     pub fn add(&self, service: &ServiceName, usage: &[(ServiceName, u32)]) {
         let mut own = self.usage.borrow_mut();
@@ -237,8 +271,10 @@
     unreachable_since: Cell<Option<Instant>>,
     queue: RefCell<EndpointQueue<(JobId, Job)>>,
     active: RefCell<HashMap<JobId, ActiveJob>>,
-    /// Hold times by route.
-    times: RefCell<HashMap<String, TimeEstimate>>,
+    /// What the endpoint's runs have shown, by route.
+    progress: RefCell<Progress>,
+    /// This gate's part of the retry budget of its service.
+    budget: RefCell<RetryBudget>,
     pool: Rc<Pool>,
     /// Running calls by id.
     parents: RefCell<HashMap<String, Rc<ParentCall>>>,
@@ -255,7 +291,7 @@
 impl Gate {
     /// Creates the gate of the endpoint at an address. Its instance is not known yet.
     #[must_use]
-    pub fn new(address: std::net::SocketAddr, now: Instant) -> Self {
+    pub fn new(address: std::net::SocketAddr, bound: RetryBound, now: Instant) -> Self {
         Self {
             announcement: RefCell::new(None),
             leaving: Cell::new(None),
@@ -263,7 +299,8 @@
             unreachable_since: Cell::new(None),
             queue: RefCell::new(EndpointQueue::new(1)),
             active: RefCell::new(HashMap::new()),
-            times: RefCell::new(HashMap::new()),
+            progress: RefCell::default(),
+            budget: RefCell::new(RetryBudget::new(bound, now)),
             pool: Rc::new(Pool::new(address)),
             parents: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandEstimator::new(now)),
@@ -324,6 +361,42 @@
         self.parents.borrow().get(parent).cloned()
     }
 
+    /// Sets the operators' bound on retries.
+    pub fn set_retry_bound(&self, bound: RetryBound) {
+        self.budget.borrow_mut().set_bound(bound);
+    }
+
+    /// Counts a nested call that a running call makes; returns what follows from its position.
+    pub fn count_nested(&self, daemon: &Daemon, parent: &ParentCall) -> NestedCall {
+        let made = parent.made.get() + 1;
+        parent.made.set(made);
+        let own = self.progress.borrow().remaining(&parent.route, made);
+        let left = parent
+            .deadline
+            .left(daemon.clock.now(), daemon.clock.boot());
+        NestedCall {
+            of_retry: parent.history.retry || parent.history.of_retry,
+            remaining: parent.remaining + own,
+            is_late: progress::cannot_finish(left, own),
+        }
+    }
+
+    /// Applies a call to the retry budget; returns whether it may be delivered.
+    fn charge_budget(&self, daemon: &Daemon, now: Instant, call: &CallHead) -> bool {
+        let gates = daemon.fleet.borrow().ready(&daemon.service()).len();
+        let mut budget = self.budget.borrow_mut();
+        if call.history.retry {
+            return budget.try_take(now, gates);
+        }
+        if call.history.of_retry {
+            budget.record_repeat(now, gates);
+        } else if !call.kind.nested && !call.history.offered {
+            // The operators' bound counts calls of clients only.
+            budget.record_call(now, gates);
+        }
+        true
+    }
+
     /// Updates the demand estimate and sends other daemons the admission share that fits, as long
     /// as the daemon runs.
     pub async fn track_demand(&self, daemon: &Rc<Daemon>) {
@@ -360,30 +433,32 @@
     pub fn submit(&self, daemon: &Rc<Daemon>, job: Job) -> Option<JobId> {
         let now = daemon.clock.now();
         if let Some(reason) = self.refusal(daemon, now, &job) {
-            self.refuse(daemon, job, reason);
+            self.send_refusal(daemon, job, reason);
+            return None;
+        }
+        if !self.charge_budget(daemon, now, &job.call) {
+            self.send_refusal(daemon, job, NotRun::Budget);
             return None;
         }
         let class = match job.call.share {
             None => DemandClass::Urgent,
             Some(share) => DemandClass::Elastic(f64::from(share) / SHARE_SCALE),
         };
-        self.demand.borrow_mut().record_arrival(now, class);
+        // The gate that got the call first has counted it.
+        if !job.call.history.offered {
+            self.demand.borrow_mut().record_arrival(now, class);
+        }
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
-        let min_time = self
-            .times
-            .borrow()
-            .get(&job.call.kind.route)
-            .map_or(MIN_RESPONSE_TIME, |times| {
-                times.lower_bound().max(MIN_RESPONSE_TIME)
-            });
+        let min_time = self.progress.borrow().lower_bound(&job.call.kind.route);
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
             rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.nested),
+            remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
             deadline: job.deadline.at,
-            min_time,
+            min_time: min_time.max(MIN_RESPONSE_TIME),
             call: (id, job),
         };
         let enqueued = self.queue.borrow_mut().enqueue(now, queued_call);
@@ -419,6 +494,9 @@
                 active.remove(&id);
                 drop(active);
                 if let Some((_, job)) = job {
+                    if job.call.history.retry {
+                        self.budget.borrow_mut().give_back();
+                    }
                     job.sender
                         .send(Outcome::NotRun(NotRun::Cancelled), self.load());
                 }
@@ -580,7 +658,15 @@
         None
     }
 
+    /// Refuses a call for which the retry budget was charged.
     fn refuse(&self, daemon: &Daemon, job: Job, reason: NotRun) {
+        if job.call.history.retry && reason != NotRun::Rejected {
+            self.budget.borrow_mut().give_back();
+        }
+        self.send_refusal(daemon, job, reason);
+    }
+
+    fn send_refusal(&self, daemon: &Daemon, job: Job, reason: NotRun) {
         let label = format!("{reason:?}");
         daemon.metrics.refused.with_label_values(&[&label]).inc();
         if daemon
@@ -597,13 +683,8 @@
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
-        let parent = ParentCall {
-            share: job.call.share,
-            usage: RefCell::default(),
-        };
-        self.parents
-            .borrow_mut()
-            .insert(call_id.clone(), Rc::new(parent));
+        let parent = Rc::new(ParentCall::new(&job));
+        self.parents.borrow_mut().insert(call_id.clone(), parent);
         let owner = Rc::clone(daemon);
         let pool = Rc::clone(&self.pool);
         let task = tokio::task::spawn_local(async move {
@@ -635,16 +716,14 @@
         match &mut outcome {
             Outcome::Answered(response, _) => {
                 response.held_us = hold_time.as_micros() as u64;
+                let made = parent.as_ref().map_or(0, |parent| parent.made.get());
                 if let Some(parent) = parent {
                     response.usage = parent.usage.take().into_iter().collect();
                 }
                 queue.finish(hold_time);
                 if (200..300).contains(&response.status) {
-                    let mut times = self.times.borrow_mut();
-                    times
-                        .entry(job.call.kind.route.clone())
-                        .or_default()
-                        .record(hold_time);
+                    let mut progress = self.progress.borrow_mut();
+                    progress.record_run(&job.call.kind.route, made, hold_time);
                 }
             }
             Outcome::NotRun(_) | Outcome::Unknown(_) => {
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -1,17 +1,18 @@
 //! Guards against a gate that admits calls although its endpoint is leaving, its daemon is stopping
-//! or the calls are for another instance, and against cancelled calls whose outcome is not
-//! reported.
+//! or the calls are for another instance, against cancelled calls whose outcome is not reported,
+//! and against a retry budget that nested calls fill or that retries exceed.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use policy::fleet::State;
+use policy::retry::RetryBound;
 use rstest::rstest;
 use tokio::task::LocalSet;
 
 use super::{Deadline, Outcome};
 use crate::daemon::Daemon;
-use crate::frame::NotRun;
+use crate::frame::{CallHistory, NotRun};
 use crate::testing::{OutcomeReceiver, announcement, daemon, job};
 
 fn submit(daemon: &Rc<Daemon>, instance: &str) -> OutcomeReceiver {
@@ -167,3 +168,73 @@
     let left = deadline.left(start + ms(passed), boot + ms(passed_boot));
     assert_eq!(left, ms(expected));
 }
+
+/// A bound under which each call of a client allows a retry, and nothing else does.
+const BOUND: RetryBound = RetryBound {
+    ratio: 10.0,
+    slack: 0.0,
+    window: Duration::from_secs(10),
+};
+
+fn submit_as(daemon: &Rc<Daemon>, nested: bool, history: CallHistory) -> OutcomeReceiver {
+    let (mut job, receiver) = job(daemon, "a", "i-1");
+    job.call.kind.nested = nested;
+    job.call.history = history;
+    daemon.gate.submit(daemon, job);
+    receiver
+}
+
+const RETRY: CallHistory = CallHistory {
+    offered: true,
+    retry: true,
+    of_retry: false,
+};
+
+/// Guards against nested calls that add to the retry budget: the operators' bound counts calls of
+/// clients only.
+#[tokio::test]
+async fn nested_calls_do_not_add_to_the_retry_budget() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _) = daemon();
+            daemon.gate.set_retry_bound(BOUND);
+            announce(&daemon, "i-1", 1, State::Ready);
+            submit_as(&daemon, true, CallHistory::default());
+            let mut retry = submit_as(&daemon, false, RETRY);
+            assert_eq!(refusal(&mut retry), Some(NotRun::Budget));
+            submit_as(&daemon, false, CallHistory::default());
+            let mut retry = submit_as(&daemon, false, RETRY);
+            assert_eq!(refusal(&mut retry), None);
+            let mut another = submit_as(&daemon, false, RETRY);
+            assert_eq!(refusal(&mut another), Some(NotRun::Budget));
+        })
+        .await;
+}
+
+/// Guards against a call that counts twice because a gate that refused it and the next one both
+/// count it, and against nested calls of a retried run that are free.
+#[tokio::test]
+async fn offered_calls_and_calls_of_retries_do_not_fill_the_budget() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _) = daemon();
+            daemon.gate.set_retry_bound(BOUND);
+            announce(&daemon, "i-1", 1, State::Ready);
+            let offered = CallHistory {
+                offered: true,
+                ..CallHistory::default()
+            };
+            submit_as(&daemon, false, offered);
+            let mut retry = submit_as(&daemon, false, RETRY);
+            assert_eq!(refusal(&mut retry), Some(NotRun::Budget));
+            submit_as(&daemon, false, CallHistory::default());
+            let of_retry = CallHistory {
+                of_retry: true,
+                ..CallHistory::default()
+            };
+            submit_as(&daemon, true, of_retry);
+            let mut retry = submit_as(&daemon, false, RETRY);
+            assert_eq!(refusal(&mut retry), Some(NotRun::Budget));
+        })
+        .await;
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -157,10 +157,7 @@
         match Settings::parse(&new) {
             Ok(settings) => {
                 info!(event = "reloaded", changed = new != text; "");
-                daemon
-                    .budget
-                    .borrow_mut()
-                    .set_bound(settings.bounds.retry_bound());
+                daemon.gate.set_retry_bound(settings.bounds.retry_bound());
                 *daemon.settings.borrow_mut() = settings;
             }
             Err(error) => {
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, CallKind, Load};
+use crate::frame::{CallHead, CallHistory, CallKind, Load};
 use crate::gate::{Deadline, Job, Outcome, OutcomeSender};
 use crate::settings::Settings;
 
@@ -117,6 +117,8 @@
         id: id.to_owned(),
         left_us: 5_000_000,
         share: Some(1_000),
+        history: CallHistory::default(),
+        remaining_ms: 0,
         target: "/".to_owned(),
         kind: CallKind {
             instance: instance.to_owned(),
