Check watches after a failed call; add up capacity and demand of a service

Change: after a failed call a watch waits for one second at first, and returns after a random delay. The share of a service is its capacity over its demand.

--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -21,6 +21,10 @@
 /// Smallest admission share. The calls that it lets through show when there is headroom again.
 pub const MIN_SHARE: f64 = 0.05;
 
+/// Largest admission share. Spare capacity beyond it makes up for no lack elsewhere: the calls of an
+/// entry reach only a few gates.
+pub const MAX_SHARE: f64 = 2.0;
+
 /// Fraction of the capacity that is left to elastic work, however much urgent work there is.
 const ELASTIC_RESERVE_FRACTION: f64 = 0.1;
 
@@ -86,15 +90,16 @@
         }
     }
 
-    /// Returns the admission share that fits a capacity in calls per second.
+    /// Returns the admission share that fits a capacity in calls per second. It is above 1, up to
+    /// [`MAX_SHARE`], if there is spare capacity.
     pub fn share(&mut self, now: Instant, capacity: f64) -> f64 {
         self.decay(now);
         let target = capacity * TARGET_UTILISATION * self.trim;
         let elastic_capacity = (target - self.urgent_rate).max(target * ELASTIC_RESERVE_FRACTION);
-        if self.elastic_rate <= elastic_capacity {
-            return 1.0;
+        if elastic_capacity >= self.elastic_rate * MAX_SHARE {
+            return MAX_SHARE;
         }
-        (elastic_capacity / self.elastic_rate).clamp(MIN_SHARE, 1.0)
+        (elastic_capacity / self.elastic_rate).clamp(MIN_SHARE, MAX_SHARE)
     }
 
     fn decay(&mut self, now: Instant) {
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::demand::MIN_SHARE;
 use crate::id::VmId;
 use crate::routing::{Route, RouteName};
 
@@ -61,7 +62,7 @@
     pub limit: u32,
     /// Mean time for which a call holds a slot.
     pub hold_time: Duration,
-    /// Admission share: fraction of the elastic work that it can take.
+    /// Admission share: fraction of the elastic work that it can take, above 1 with spare capacity.
     pub share: f64,
     /// Fraction of the calls sent to the endpoint that it does not refuse.
     pub accepted: f64,
@@ -99,22 +100,23 @@
     };
 
     /// Returns the headroom of several endpoints together, or `None` without any capacity.
+    ///
+    /// The share is the whole capacity divided by the whole demand, so spare capacity of one
+    /// endpoint makes up for a momentary lack at another.
     #[must_use]
     pub fn sum(headrooms: impl Iterator<Item = Self>) -> Option<Self> {
-        let mut sum = Self {
-            capacity: 0.0,
-            share: 0.0,
-            accepted: 0.0,
-        };
+        let mut capacity = 0.0;
+        let mut demand = 0.0;
+        let mut accepted = 0.0;
         for headroom in headrooms {
-            sum.capacity += headroom.capacity;
-            sum.share += headroom.share * headroom.capacity;
-            sum.accepted += headroom.accepted * headroom.capacity;
+            capacity += headroom.capacity;
+            demand += headroom.capacity / headroom.share.max(MIN_SHARE);
+            accepted += headroom.accepted * headroom.capacity;
         }
-        (sum.capacity > 0.0).then(|| Self {
-            capacity: sum.capacity,
-            share: sum.share / sum.capacity,
-            accepted: sum.accepted / sum.capacity,
+        (capacity > 0.0).then(|| Self {
+            capacity,
+            share: (capacity / demand).min(1.0),
+            accepted: accepted / capacity,
         })
     }
 }
@@ -215,14 +217,22 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the headroom of the endpoint, if its gate reported a load recently.
+    /// Returns the headroom of the endpoint, if its gate ever reported a load.
     ///
-    /// An ejected endpoint is not counted, because its calls show in the load of the others.
+    /// An ejected endpoint is not counted, because its calls show in the load of the others. A gate
+    /// sends a share below 1 again and again, so an old report means that there is room.
     #[must_use]
     pub fn headroom(&self, now: Instant) -> Option<Headroom> {
         let reported_at = self.reported_at?;
-        let fresh = now.saturating_duration_since(reported_at) < MAX_REPORT_AGE;
-        (fresh && !self.is_ejected(now)).then(|| self.load.headroom())
+        if self.is_ejected(now) {
+            return None;
+        }
+        let mut headroom = self.load.headroom();
+        if now.saturating_duration_since(reported_at) >= MAX_REPORT_AGE {
+            headroom.share = headroom.share.max(1.0);
+            headroom.accepted = 1.0;
+        }
+        Some(headroom)
     }
 
     /// Returns the fraction of calls that the endpoint does not refuse; 1 without a recent report.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -29,7 +29,16 @@
 
 /// Time for which one watch waits for changes. A long wait costs the store only one call, and the
 /// keepalive probes of its connection notice a silent store earlier.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time for which a watch waits after a failed call. The store may accept a watch in trouble and
+/// never answer it, although it answers other calls: a configuration was seen 5 s late after the
+/// history had been compacted.
+const CHECK_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest random delay of a watch after the store is reachable again, so that the watches of all
+/// daemons do not arrive at one moment.
+const MAX_RETURN_DELAY: Duration = Duration::from_millis(250);
 
 /// Lifetime of the lease without renewal: longer than the pauses and freezes that a VM survives.
 const LEASE_LIFETIME: Duration = Duration::from_secs(8);
@@ -123,9 +132,10 @@
         daemon: &Daemon,
         prefix: &str,
         after: Revision,
+        wait: Duration,
     ) -> Result<Changes, StoreError> {
         tokio::select! {
-            changes = daemon.store.watch(prefix, after, WATCH_TIMEOUT) => changes,
+            changes = daemon.store.watch(prefix, after, wait) => changes,
             () = self.reachable.notified() => Ok(Changes {
                 events: Vec::new(),
                 revision: after,
@@ -139,21 +149,23 @@
         // A watch follows each listing, so the first one need not be current.
         let mut freshness = Freshness::Stale;
         let mut delay = RetryDelay::default();
+        let mut wait = WATCH_TIMEOUT;
         loop {
             let result = match (part, revision) {
                 (StorePart::Configuration, None) => {
                     self.read_configuration(&daemon, freshness).await
                 }
                 (StorePart::Configuration, Some(after)) => {
-                    self.watch_configuration(&daemon, after).await
+                    self.watch_configuration(&daemon, after, wait).await
                 }
                 (StorePart::Fleet, None) => self.read_fleet(&daemon, freshness).await,
-                (StorePart::Fleet, Some(after)) => self.watch_fleet(&daemon, after).await,
+                (StorePart::Fleet, Some(after)) => self.watch_fleet(&daemon, after, wait).await,
             };
             match result {
                 Ok(next) => {
                     self.record_success(&daemon);
                     delay.reset();
+                    wait = WATCH_TIMEOUT;
                     revision = Some(next);
                 }
                 Err(StoreError::Compacted) => {
@@ -162,7 +174,9 @@
                 }
                 Err(error) => {
                     self.record_failure(&daemon, part.name(), &error);
-                    self.wait_for_store(delay.next(random(&daemon))).await;
+                    self.wait_for_store(&daemon, delay.next(random(&daemon)))
+                        .await;
+                    wait = CHECK_WATCH_TIMEOUT;
                 }
             }
         }
@@ -170,11 +184,12 @@
 
     /// Waits before the next attempt of a watch after a failed call: for a delay or, where renewals
     /// probe the store, until one of them succeeds.
-    async fn wait_for_store(&self, delay: Duration) {
+    async fn wait_for_store(&self, daemon: &Daemon, delay: Duration) {
         if self.probing.get() {
             let wait = MAX_PROBE_WAIT + delay;
             // A timeout is the fallback for a store that refuses renewals alone.
             drop(tokio::time::timeout(wait, self.reachable.notified()).await);
+            tokio::time::sleep(MAX_RETURN_DELAY.mul_f64(random(daemon))).await;
         } else {
             tokio::time::sleep(delay).await;
         }
@@ -198,8 +213,11 @@
         &self,
         daemon: &Daemon,
         after: Revision,
+        wait: Duration,
     ) -> Result<Revision, StoreError> {
-        let changes = self.watch(daemon, CONFIGURATION_PREFIX, after).await?;
+        let changes = self
+            .watch(daemon, CONFIGURATION_PREFIX, after, wait)
+            .await?;
         for event in changes.events {
             match event {
                 Event::Written(item) if item.key == CONFIGURATION_KEY => {
@@ -244,8 +262,9 @@
         &self,
         daemon: &Rc<Daemon>,
         after: Revision,
+        wait: Duration,
     ) -> Result<Revision, StoreError> {
-        let changes = self.watch(daemon, VM_PREFIX, after).await?;
+        let changes = self.watch(daemon, VM_PREFIX, after, wait).await?;
         for event in changes.events {
             match event {
                 Event::Written(item) => {
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -14,7 +14,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-use super::{Discovery, VM_PREFIX, must_request};
+use super::{Discovery, VM_PREFIX, WATCH_TIMEOUT, must_request};
 use crate::daemon::Daemon;
 use crate::testing::{announcement, daemon, daemon_with};
 
@@ -95,8 +95,9 @@
             let owner = Rc::clone(&discovery);
             let watcher = Rc::clone(&daemon);
             let start = Instant::now();
-            let watch =
-                tokio::task::spawn_local(async move { owner.watch(&watcher, "p/", 3).await });
+            let watch = tokio::task::spawn_local(async move {
+                owner.watch(&watcher, "p/", 3, WATCH_TIMEOUT).await
+            });
             // The store accepts the connection and never responds.
             let _silent = listener.accept().await.unwrap();
             discovery.record_success(&daemon);
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -413,7 +413,7 @@
             self.accepted
                 .set(1.0 - (1.0 - self.accepted.get()) * (1.0 - REFUSAL_DECAY_FRACTION));
             let load = self.load();
-            let usable = load.share.min(load.accepted);
+            let usable = load.share.min(load.accepted).min(FULL_SHARE);
             let changed = usable.abs_diff(sent.0) >= MIN_SHARE_CHANGE;
             let resend = usable < FULL_SHARE
                 && now.saturating_duration_since(sent.1) >= SHARE_RESEND_INTERVAL;
