--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::demand::MIN_SHARE;
+use crate::demand::{MAX_SHARE, MIN_SHARE};
 use crate::id::VmId;
 use crate::routing::{Route, RouteName};
 
@@ -220,7 +220,7 @@
     /// Returns the headroom of the endpoint, if its gate ever reported a load.
     ///
     /// An ejected endpoint is not counted, because its calls show in the load of the others. A gate
-    /// sends a share below 1 again and again, so an old report means that there is room.
+    /// sends a share below [`MAX_SHARE`] again and again, so an old report means that there is room.
     #[must_use]
     pub fn headroom(&self, now: Instant) -> Option<Headroom> {
         let reported_at = self.reported_at?;
@@ -229,7 +229,7 @@
         }
         let mut headroom = self.load.headroom();
         if now.saturating_duration_since(reported_at) >= MAX_REPORT_AGE {
-            headroom.share = headroom.share.max(1.0);
+            headroom.share = MAX_SHARE;
             headroom.accepted = 1.0;
         }
         Some(headroom)
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -12,7 +12,7 @@
 use adapter::response::RunStatus;
 use bytes::Bytes;
 use log::info;
-use policy::demand::{DemandClass, DemandEstimator};
+use policy::demand::{self, DemandClass, DemandEstimator};
 use policy::fleet::{Announcement, State};
 use policy::id::ServiceName;
 use policy::progress::{self, Progress};
@@ -73,11 +73,14 @@
 /// Admission share of 1, in thousandths.
 const FULL_SHARE: u16 = SHARE_SCALE as u16;
 
+/// Largest admission share, in thousandths.
+const MAX_SHARE: u16 = (demand::MAX_SHARE * SHARE_SCALE) as u16;
+
 /// Smallest change of the admission share that is sent to other daemons, in thousandths.
 const MIN_SHARE_CHANGE: u16 = 30;
 
-/// Time after which an admission share below 1 is sent again, so that other daemons do not treat
-/// it as outdated.
+/// Time after which an admission share below the largest one is sent again, so that other daemons
+/// do not treat it as outdated.
 const SHARE_RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Number of a job at this gate.
@@ -415,7 +418,7 @@
             let load = self.load();
             let usable = load.share.min(load.accepted).min(FULL_SHARE);
             let changed = usable.abs_diff(sent.0) >= MIN_SHARE_CHANGE;
-            let resend = usable < FULL_SHARE
+            let resend = (usable < FULL_SHARE || load.share < MAX_SHARE)
                 && now.saturating_duration_since(sent.1) >= SHARE_RESEND_INTERVAL;
             if changed || resend {
                 sent = (usable, now);
