--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -35,7 +35,7 @@
 /// target and is 1 at most.
 const TRIM_DOWN_FACTOR: f64 = 0.97;
 const TRIM_UP_FACTOR: f64 = 1.01;
-const MIN_TRIM: f64 = 0.75;
+const MIN_TRIM: f64 = 0.9;
 
 /// How an arriving call counts towards the demand.
 #[derive(Clone, Copy, Debug, PartialEq)]
