--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -11,14 +11,14 @@
 mod tests;
 
 /// Watches of the fleet that all daemons together may send in a second while entries change.
-const FLEET_WATCHES_PER_SECOND: f64 = 64.0;
+const FLEET_WATCHES_PER_SECOND: f64 = 48.0;
 
 /// Shortest pause between two watches of a daemon. Entries change in bursts.
 const MIN_WATCH_PAUSE: Duration = Duration::from_millis(400);
 
 /// Longest pause between two watches. A new VM must get calls within a few seconds, and one whose
 /// entry was removed is retained for 2.5 s.
-const MAX_WATCH_PAUSE: Duration = Duration::from_millis(1_500);
+pub const MAX_WATCH_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Delay after the first failed call. Up to as much again is added at random.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -28,7 +28,7 @@
 const MAX_REMOTE_PENALTY_FRACTION: f64 = 0.5;
 
 /// Penalty for an endpoint whose dependencies have no headroom, as a fraction of the objective.
-const NO_HEADROOM_PENALTY_FRACTION: f64 = 0.2;
+const NO_HEADROOM_PENALTY_FRACTION: f64 = 0.1;
 
 /// Penalty for an endpoint that refuses every call, as a fraction of the objective. A refused call
 /// is retried only within the operators' retry bound, so its loss counts like a missed objective.
@@ -100,13 +100,13 @@
     };
 
     /// Returns the headroom of a service's endpoints together, `unknown` of which have not reported
-    /// any, or `None` without any known capacity.
+    /// any and therefore count as idle, or `None` without any known capacity.
     #[must_use]
     pub fn of_service(known: &[Self], unknown: usize) -> Option<Self> {
         let capacity: f64 = known.iter().map(|headroom| headroom.capacity).sum();
         let average = Self {
             capacity: capacity / known.len().max(1) as f64,
-            share: 1.0,
+            share: MAX_SHARE,
             accepted: 1.0,
         };
         let all = known.iter().copied();
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -182,7 +182,7 @@
 
     /// Returns the headroom of a service's endpoints, in one data centre or in all. It is zero if
     /// all of them are ejected, and `None` if no gate has reported its load. A gate of which nothing
-    /// is known counts as an average one without spare capacity.
+    /// is known counts as idle.
     #[must_use]
     pub fn headroom_of(&self, service: &str, data_centre: Option<&str>) -> Option<Headroom> {
         let now = self.clock.now();
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -254,7 +254,8 @@
         }
         self.listed.set(true);
         self.write_needed.notify_one();
-        pause_watch(daemon).await;
+        // Where all VMs start together, their entries follow within a few seconds.
+        tokio::time::sleep(pacing::MAX_WATCH_PAUSE).await;
         Ok(listing.revision)
     }
 
