Send room and demand instead of their ratio

Cause: urgent and returning calls are taken off the capacity first, so the ratios of gates cannot be added up; two busy gates outweighed five idle ones.

--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -21,8 +21,8 @@
 /// Smallest admission share. The calls that it lets through show when there is headroom again.
 pub const MIN_SHARE: f64 = 0.05;
 
-/// Largest admission share. Spare capacity beyond it makes up for no lack elsewhere: the calls of an
-/// entry reach only a few gates.
+/// Largest admission share of a gate. A gate sends its room again and again while its share is
+/// below it.
 pub const MAX_SHARE: f64 = 2.0;
 
 /// Fraction of the capacity that is left to elastic work, however much urgent work there is.
@@ -49,6 +49,39 @@
     Returned,
 }
 
+/// Elastic work that an endpoint can take and that is demanded of it, in calls per second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ElasticRoom {
+    /// What it can take.
+    pub room: f64,
+    /// What would arrive if all chains were admitted.
+    pub demand: f64,
+}
+
+impl Default for ElasticRoom {
+    fn default() -> Self {
+        Self::UNUSED
+    }
+}
+
+impl ElasticRoom {
+    /// An endpoint without capacity and demand.
+    pub const UNUSED: Self = Self {
+        room: 0.0,
+        demand: 0.0,
+    };
+
+    /// Returns the admission share that fits. It is above 1, up to [`MAX_SHARE`], if there is spare
+    /// capacity.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        if self.room >= self.demand * MAX_SHARE {
+            return MAX_SHARE;
+        }
+        (self.room / self.demand).clamp(MIN_SHARE, MAX_SHARE)
+    }
+}
+
 /// Estimates the demand and derives the admission share that fits.
 #[derive(Debug)]
 pub struct DemandEstimator {
@@ -95,16 +128,14 @@
         }
     }
 
-    /// Returns the admission share that fits a capacity in calls per second. It is above 1, up to
-    /// [`MAX_SHARE`], if there is spare capacity.
-    pub fn share(&mut self, now: Instant, capacity: f64) -> f64 {
+    /// Returns what elastic work fits a capacity in calls per second, and what is demanded.
+    pub fn room(&mut self, now: Instant, capacity: f64) -> ElasticRoom {
         self.decay(now);
         let target = capacity * TARGET_UTILISATION * self.trim;
-        let elastic_capacity = (target - self.urgent_rate).max(target * ELASTIC_RESERVE_FRACTION);
-        if elastic_capacity >= self.elastic_rate * MAX_SHARE {
-            return MAX_SHARE;
+        ElasticRoom {
+            room: (target - self.urgent_rate).max(target * ELASTIC_RESERVE_FRACTION),
+            demand: self.elastic_rate,
         }
-        (elastic_capacity / self.elastic_rate).clamp(MIN_SHARE, MAX_SHARE)
     }
 
     fn decay(&mut self, now: Instant) {
--- a/crates/policy/src/demand/tests.rs
+++ b/crates/policy/src/demand/tests.rs
@@ -26,7 +26,7 @@
             estimator.record_arrival(now, DemandClass::Urgent);
         }
         if ms % 100 == 0 {
-            share = estimator.share(now, capacity).min(1.0);
+            share = estimator.room(now, capacity).share().min(1.0);
             if ms > 4_000 {
                 shares.push(share);
             }
@@ -94,7 +94,7 @@
             estimator.record_arrival(now, DemandClass::Returned);
         }
         if ms % 100 == 99 {
-            share = estimator.share(now, capacity).min(1.0);
+            share = estimator.room(now, capacity).share().min(1.0);
         }
     }
     assert!(share >= 1.0, "{share}");
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::demand::{MAX_SHARE, MIN_SHARE};
+use crate::demand::ElasticRoom;
 use crate::id::VmId;
 use crate::routing::{Route, RouteName};
 
@@ -62,8 +62,8 @@
     pub limit: u32,
     /// Mean time for which a call holds a slot.
     pub hold_time: Duration,
-    /// Admission share: fraction of the elastic work that it can take, above 1 with spare capacity.
-    pub share: f64,
+    /// Elastic work that it can take and that is demanded.
+    pub room: ElasticRoom,
     /// Fraction of the calls sent to the endpoint that it does not refuse.
     pub accepted: f64,
 }
@@ -74,13 +74,13 @@
             calls: 0,
             limit: 0,
             hold_time: Duration::ZERO,
-            share: 1.0,
+            room: ElasticRoom::UNUSED,
             accepted: 1.0,
         }
     }
 }
 
-/// What an endpoint, or all endpoints of a service together, can still take.
+/// What all endpoints of a service together can still take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Headroom {
     /// Calls per second that can be finished.
@@ -100,50 +100,32 @@
     };
 
     /// Returns the headroom of a service's endpoints together, `unknown` of which have not reported
-    /// any and therefore count as idle, or `None` without any known capacity.
-    #[must_use]
-    pub fn of_service(known: &[Self], unknown: usize) -> Option<Self> {
-        let capacity: f64 = known.iter().map(|headroom| headroom.capacity).sum();
-        let average = Self {
-            capacity: capacity / known.len().max(1) as f64,
-            share: MAX_SHARE,
-            accepted: 1.0,
-        };
-        let all = known.iter().copied();
-        Self::sum(all.chain(std::iter::repeat_n(average, unknown)))
-    }
-
-    /// Returns the headroom of several endpoints together, or `None` without any capacity.
+    /// any load and therefore count as idle, or `None` without any known capacity.
     ///
-    /// The share is the whole capacity divided by the whole demand, so spare capacity of one
-    /// endpoint makes up for a momentary lack at another.
+    /// The share is the room of all of them divided by the demand, so spare capacity of one endpoint
+    /// makes up for a momentary lack at another.
     #[must_use]
-    pub fn sum(headrooms: impl Iterator<Item = Self>) -> Option<Self> {
-        let mut capacity = 0.0;
-        let mut demand = 0.0;
-        let mut accepted = 0.0;
-        for headroom in headrooms {
-            capacity += headroom.capacity;
-            demand += headroom.capacity / headroom.share.max(MIN_SHARE);
-            accepted += headroom.accepted * headroom.capacity;
+    pub fn of_service(loads: &[Load], unknown: usize) -> Option<Self> {
+        let capacity: f64 = loads.iter().map(Load::capacity).sum();
+        if loads.is_empty() || capacity <= 0.0 {
+            return None;
         }
-        (capacity > 0.0).then(|| Self {
+        let room: f64 = loads.iter().map(|load| load.room.room).sum();
+        let idle = 1.0 + unknown as f64 / loads.len() as f64;
+        let all = ElasticRoom {
+            room: room * idle,
+            demand: loads.iter().map(|load| load.room.demand).sum(),
+        };
+        let accepted = |load: &Load| load.accepted * load.capacity();
+        Some(Self {
             capacity,
-            share: (capacity / demand).min(1.0),
-            accepted: accepted / capacity,
+            share: all.share().min(1.0),
+            accepted: loads.iter().map(accepted).sum::<f64>() / capacity,
         })
     }
 }
 
 impl Load {
-    fn headroom(&self) -> Headroom {
-        Headroom {
-            capacity: self.capacity(),
-            share: self.share,
-            accepted: self.accepted,
-        }
-    }
-
     /// Returns the calls per second that the endpoint can finish.
     #[must_use]
     pub fn capacity(&self) -> f64 {
@@ -231,22 +213,23 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the headroom of the endpoint, if its gate ever reported a load.
+    /// Returns the load of the endpoint, if its gate ever reported one.
     ///
-    /// An ejected endpoint is not counted, because its calls show in the load of the others. A gate
-    /// sends a share below [`MAX_SHARE`] again and again, so an old report means that there is room.
+    /// An ejected endpoint has none, because its calls show in the load of the others. A gate sends
+    /// its room again and again while its share is below [`MAX_SHARE`](crate::demand::MAX_SHARE), so an old report
+    /// means that there is room.
     #[must_use]
-    pub fn headroom(&self, now: Instant) -> Option<Headroom> {
+    pub fn load(&self, now: Instant) -> Option<Load> {
         let reported_at = self.reported_at?;
         if self.is_ejected(now) {
             return None;
         }
-        let mut headroom = self.load.headroom();
+        let mut load = self.load;
         if now.saturating_duration_since(reported_at) >= MAX_REPORT_AGE {
-            headroom.share = MAX_SHARE;
-            headroom.accepted = 1.0;
+            load.room.demand = 0.0;
+            load.accepted = 1.0;
         }
-        Some(headroom)
+        Some(load)
     }
 
     /// Returns whether the endpoint is ejected or its gate ever reported a load.
--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -17,7 +17,7 @@
         calls,
         limit: 10,
         hold_time: MS * 50,
-        share: 1.0,
+        room: ElasticRoom::UNUSED,
         accepted: 1.0,
     }
 }
@@ -191,16 +191,61 @@
     let mut stopping = EndpointStats::default();
     serving.record_load(now, load(5));
     let refusing = Load {
-        share: 0.0,
+        room: room(1.0, 1_000.0),
         ..load(0)
     };
     stopping.record_load(now, refusing);
     stopping.eject_for(now, MS * 8_000);
-    let headrooms = [&serving, &stopping].map(|target| target.headroom(now));
-    let headroom = Headroom::sum(headrooms.into_iter().flatten()).unwrap();
+    let loads: Vec<Load> = [&serving, &stopping]
+        .iter()
+        .filter_map(|stats| stats.load(now))
+        .collect();
+    let headroom = Headroom::of_service(&loads, 0).unwrap();
     assert!((headroom.share - 1.0).abs() < f64::EPSILON, "{headroom:?}");
 }
 
+fn room(room: f64, demand: f64) -> ElasticRoom {
+    ElasticRoom { room, demand }
+}
+
+/// Guards against chains that are refused because the nearest gate has too many calls, while other
+/// gates of the service are half idle. Seen on a quiet day with seven gates, two of which got most
+/// of the calls.
+#[rstest]
+#[case::spare_capacity_elsewhere(50.0, 0, 1.0)]
+#[case::a_gate_of_which_nothing_is_known(100.0, 1, 1.0)]
+#[case::too_much_for_both(200.0, 0, 0.5)]
+fn the_share_of_a_service_counts_the_room_of_all_its_gates(
+    #[case] second_demand: f64,
+    #[case] unknown: usize,
+    #[case] expected: f64,
+) {
+    let loads = [room(100.0, 150.0), room(100.0, second_demand)].map(|room| Load {
+        room,
+        ..load(5)
+    });
+    let headroom = Headroom::of_service(&loads, unknown).unwrap();
+    assert!((headroom.share - expected).abs() < 0.08, "{headroom:?}");
+}
+
+/// Guards against an old report of a lack of room that outlives the lack.
+#[test]
+fn an_old_report_means_that_there_is_room() {
+    let now = Instant::now();
+    let mut stats = EndpointStats::default();
+    let full = Load {
+        room: room(10.0, 100.0),
+        ..load(10)
+    };
+    stats.record_load(now, full);
+    let share = |at| {
+        let loads = [stats.load(at).unwrap()];
+        Headroom::of_service(&loads, 0).unwrap().share
+    };
+    assert!(share(now) < 0.2);
+    assert!(share(now + MS * 2_000) >= 1.0);
+}
+
 /// Guards against a faulty endpoint that gets so many calls that its refusals exceed the retry
 /// bound.
 ///
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -13,7 +13,7 @@
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
 use policy::routing::{Configuration, WeightedSplitter};
-use policy::selection::{Headroom, ResponseSizes};
+use policy::selection::{Headroom, Load, ResponseSizes};
 use policy::throttle::EntryThrottle;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -196,9 +196,9 @@
         };
         let vms = fleet.ready(service).iter().filter(|vm| within(vm));
         let peers: Vec<Rc<Peer>> = vms.map(|vm| self.peers.get(vm)).collect();
-        let known: Vec<Headroom> = peers
+        let known: Vec<Load> = peers
             .iter()
-            .filter_map(|peer| peer.stats.borrow().headroom(now))
+            .filter_map(|peer| peer.stats.borrow().load(now))
             .collect();
         let unknown = peers
             .iter()
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use policy::demand::ElasticRoom;
 use policy::fleet::{Announcement, VmEntry};
 use policy::id::ServiceName;
 use policy::selection;
@@ -43,8 +44,10 @@
     pub limit: u32,
     /// Mean hold time of a slot, in microseconds.
     pub held_us: u32,
-    /// Admission share: fraction of the elastic work that it can take, in thousandths.
-    pub share: u16,
+    /// Elastic work that it can take, in calls per second.
+    pub room: u32,
+    /// Elastic work that is demanded of it, in calls per second.
+    pub demand: u32,
     /// Fraction of the calls that the endpoint does not refuse, in thousandths.
     pub accepted: u16,
 }
@@ -55,7 +58,10 @@
             calls: load.calls,
             limit: load.limit,
             hold_time: Duration::from_micros(u64::from(load.held_us)),
-            share: f64::from(load.share) / SHARE_SCALE,
+            room: ElasticRoom {
+                room: f64::from(load.room),
+                demand: f64::from(load.demand),
+            },
             accepted: f64::from(load.accepted) / SHARE_SCALE,
         }
     }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -12,7 +12,7 @@
 use adapter::response::RunStatus;
 use bytes::Bytes;
 use log::info;
-use policy::demand::{self, DemandClass, DemandEstimator};
+use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
 use policy::fleet::{Announcement, State};
 use policy::id::ServiceName;
 use policy::progress::{self, Progress};
@@ -284,8 +284,8 @@
     /// Running calls by id.
     parents: RefCell<HashMap<String, Rc<ParentCall>>>,
     demand: RefCell<DemandEstimator>,
-    /// Admission share, in thousandths.
-    share: Cell<u16>,
+    /// Elastic work that the endpoint can take and that is demanded of it.
+    room: Cell<ElasticRoom>,
     /// Mean fraction of calls that the endpoint does not refuse.
     accepted: Cell<f64>,
     next_id: Cell<JobId>,
@@ -309,7 +309,7 @@
             pool: Rc::new(Pool::new(address)),
             parents: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandEstimator::new(now)),
-            share: Cell::new(FULL_SHARE),
+            room: Cell::default(),
             accepted: Cell::new(1.0),
             next_id: Cell::new(1),
             queued: Notify::new(),
@@ -350,7 +350,8 @@
             calls: (queue.running() + queue.waiting()) as u32,
             limit: queue.limit() as u32,
             held_us: queue.mean_hold_time().as_micros() as u32,
-            share: self.share.get(),
+            room: self.room.get().room as u32,
+            demand: self.room.get().demand as u32,
             accepted: (self.accepted.get() * SHARE_SCALE) as u16,
         }
     }
@@ -413,20 +414,21 @@
             let load: selection::Load = self.load().into();
             let mut demand = self.demand.borrow_mut();
             demand.adjust(self.queue.borrow().next_wait(), load.hold_time);
-            let share = demand.share(now, load.capacity());
+            let room = demand.room(now, load.capacity());
             drop(demand);
-            self.share.set((share * SHARE_SCALE) as u16);
+            self.room.set(room);
+            let share = (room.share() * SHARE_SCALE) as u16;
             self.accepted
                 .set(1.0 - (1.0 - self.accepted.get()) * (1.0 - REFUSAL_DECAY_FRACTION));
             let load = self.load();
-            let usable = load.share.min(load.accepted).min(FULL_SHARE);
+            let usable = share.min(load.accepted).min(FULL_SHARE);
             let changed = usable.abs_diff(sent.0) >= MIN_SHARE_CHANGE;
-            let resend = (usable < FULL_SHARE || load.share < MAX_SHARE)
+            let resend = (usable < FULL_SHARE || share < MAX_SHARE)
                 && now.saturating_duration_since(sent.1) >= SHARE_RESEND_INTERVAL;
             if changed || resend {
                 sent = (usable, now);
                 if changed && daemon.log_limiter.allows(now, "room") {
-                    info!(event = "room", share = load.share, accepted = load.accepted, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
+                    info!(event = "room", share = share, accepted = load.accepted, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
                 }
                 daemon.subscribers.notify(&Frame::Load(load));
                 let own = daemon.peers.get(&daemon.vm);
