--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -76,6 +76,9 @@
 /// Largest admission share, in thousandths.
 const MAX_SHARE: u16 = (demand::MAX_SHARE * SHARE_SCALE) as u16;
 
+/// Admission share below which the chains that are nearly done go first.
+const SCARCE_SHARE: f64 = 0.6;
+
 /// Smallest change of the admission share that is sent to other daemons, in thousandths.
 const MIN_SHARE_CHANGE: u16 = 30;
 
@@ -388,6 +391,17 @@
         }
     }
 
+    /// Returns the remaining time of a call's chain for the order of the queue. The order counts it
+    /// only while the demand is far above the capacity: otherwise all chains can finish, and those
+    /// that have just begun must not be overtaken until they are late.
+    fn queue_remaining(&self, call: &CallHead) -> Duration {
+        if self.room.get().share() < SCARCE_SHARE {
+            Duration::from_millis(u64::from(call.remaining_ms))
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Applies a call to the retry budget; returns whether it may be delivered.
     fn charge_budget(&self, daemon: &Daemon, now: Instant, call: &CallHead) -> bool {
         let gates = daemon.fleet.borrow().ready(&daemon.service()).len();
@@ -465,7 +479,7 @@
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
             rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.nested),
-            remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
+            remaining: self.queue_remaining(&job.call),
             deadline: job.deadline.at,
             min_time: min_time.max(MIN_RESPONSE_TIME),
             call: (id, job),
