--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -220,10 +220,8 @@
     #[case] unknown: usize,
     #[case] expected: f64,
 ) {
-    let loads = [room(100.0, 150.0), room(100.0, second_demand)].map(|room| Load {
-        room,
-        ..load(5)
-    });
+    let loads =
+        [room(100.0, 150.0), room(100.0, second_demand)].map(|room| Load { room, ..load(5) });
     let headroom = Headroom::of_service(&loads, unknown).unwrap();
     assert!((headroom.share - expected).abs() < 0.08, "{headroom:?}");
 }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -76,9 +76,6 @@
 /// Largest admission share, in thousandths.
 const MAX_SHARE: u16 = (demand::MAX_SHARE * SHARE_SCALE) as u16;
 
-/// Admission share below which the chains that are nearly done go first.
-const SCARCE_SHARE: f64 = 0.6;
-
 /// Smallest change of the admission share that is sent to other daemons, in thousandths.
 const MIN_SHARE_CHANGE: u16 = 30;
 
@@ -208,8 +205,6 @@
     history: CallHistory,
     route: String,
     deadline: Deadline,
-    /// Time that the chain needs after it.
-    remaining: Duration,
     /// Nested calls made so far.
     made: Cell<u32>,
     usage: RefCell<BTreeMap<ServiceName, u32>>,
@@ -222,9 +217,7 @@
     pub of_retry: bool,
     /// Whether its chain was refused before and has returned.
     pub returned: bool,
-    /// Time that its chain needs after it.
-    pub remaining: Duration,
-    /// Whether its chain can no longer end in time.
+    /// Whether the run that made it can no longer end in time.
     pub is_late: bool,
 }
 
@@ -235,7 +228,6 @@
             history: job.call.history,
             route: job.call.kind.route.clone(),
             deadline: job.deadline,
-            remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
             made: Cell::new(0),
             usage: RefCell::default(),
         }
@@ -379,26 +371,14 @@
     pub fn count_nested(&self, daemon: &Daemon, parent: &ParentCall) -> NestedCall {
         let made = parent.made.get() + 1;
         parent.made.set(made);
-        let own = self.progress.borrow().remaining(&parent.route, made);
+        let remaining = self.progress.borrow().remaining(&parent.route, made);
         let left = parent
             .deadline
             .left(daemon.clock.now(), daemon.clock.boot());
         NestedCall {
             of_retry: parent.history.retry || parent.history.of_retry,
             returned: parent.history.returned,
-            remaining: parent.remaining + own,
-            is_late: progress::cannot_finish(left, own),
-        }
-    }
-
-    /// Returns the remaining time of a call's chain for the order of the queue. The order counts it
-    /// only while the demand is far above the capacity: otherwise all chains can finish, and those
-    /// that have just begun must not be overtaken until they are late.
-    fn queue_remaining(&self, call: &CallHead) -> Duration {
-        if self.room.get().share() < SCARCE_SHARE {
-            Duration::from_millis(u64::from(call.remaining_ms))
-        } else {
-            Duration::ZERO
+            is_late: progress::cannot_finish(left, remaining),
         }
     }
 
@@ -479,7 +459,6 @@
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
             rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.nested),
-            remaining: self.queue_remaining(&job.call),
             deadline: job.deadline.at,
             min_time: min_time.max(MIN_RESPONSE_TIME),
             call: (id, job),
