--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -119,7 +119,7 @@
             self.running += 1;
             return EnqueueOutcome::Start(queued.call);
         }
-        let key = (queued.rank, queued.remaining, queued.deadline, self.next_id);
+        let key = (queued.rank, queued.deadline, self.next_id);
         let ahead = self.waiting.range(..key).count();
         if self.would_miss_deadline(now, ahead, &queued) {
             return EnqueueOutcome::Refused(queued.call);
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -116,8 +116,6 @@
     pub share: Option<u16>,
     /// What happened to it before.
     pub history: CallHistory,
-    /// Time that its chain needs after it, in milliseconds.
-    pub remaining_ms: u32,
     /// Path and query.
     pub target: String,
     /// Fields that it shares with other calls.
@@ -271,7 +269,6 @@
         left_us: u64,
         share: Option<u16>,
         history: CallHistory,
-        remaining_ms: u32,
         target: String,
         kind: Interned<CallKind>,
     },
@@ -413,7 +410,6 @@
                 left_us: call.left_us,
                 share: call.share,
                 history: call.history,
-                remaining_ms: call.remaining_ms,
                 target: call.target.clone(),
                 kind: intern(&mut self.kinds, &call.kind),
             },
@@ -494,7 +490,6 @@
                 left_us,
                 share,
                 history,
-                remaining_ms,
                 target,
                 kind,
             } => {
@@ -503,7 +498,6 @@
                     left_us,
                     share,
                     history,
-                    remaining_ms,
                     target,
                     kind: resolve(&mut self.kinds, kind)?,
                 };
