--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -18,7 +18,7 @@
 
 /// Longest pause between two watches. A new VM must get calls within a few seconds, and one whose
 /// entry was removed is retained for 2.5 s.
-pub const MAX_WATCH_PAUSE: Duration = Duration::from_millis(2_000);
+pub const MAX_WATCH_PAUSE: Duration = Duration::from_secs(2);
 
 /// Delay after the first failed call. Up to as much again is added at random.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -4,9 +4,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
+
 use super::{
     Candidate, EndpointStats, FIRST_EJECTION_TIME, Headroom, Load, ResponseSizes, pick_endpoint,
 };
+use crate::demand::ElasticRoom;
 use crate::id::VmId;
 use crate::routing::{RetrySafety, Route};
 
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -92,6 +92,10 @@
 }
 
 /// What happened to a call before it is sent to a gate.
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "the facts are independent of each other"
+)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct CallHistory {
