--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -1,8 +1,9 @@
 //! Progress of a chain of nested calls.
 //!
-//! Copes with more chains than a deep service can finish. A chain that can no longer end in time
-//! makes no further calls, so that their slots go to chains that can. The gate of an endpoint learns
-//! from complete runs how many nested calls a route makes and how long it takes.
+//! Copes with more chains than a deep service can finish. A chain that fails late has wasted the
+//! work of all its calls, so calls of the chains that need the least further time go first, and a
+//! chain that can no longer end in time makes no further calls. The gate of an endpoint learns from
+//! complete runs how many nested calls a route makes and how long it takes.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Protects an endpoint against more load than it has slots for. Every call to the endpoint passes
 //! this queue, so rank and deadline are enforced in one place. Calls start by rank and, within a
-//! rank, by deadline. A call that would miss its deadline behind the calls ahead of it is refused
+//! rank, by the time that their chain still needs and by deadline: under overload that completes
+//! the most chains. A call that would miss its deadline behind the calls ahead of it is refused
 //! early, while the caller can still use the refusal.
 
 use std::collections::BTreeMap;
@@ -30,14 +31,16 @@
 /// Hold time assumed before the first sample.
 const INITIAL_HOLD_TIME: Duration = Duration::from_millis(50);
 
-/// Position in the queue: rank, deadline, order of arrival.
-type QueueKey = (u32, Instant, WaitingId);
+/// Position in the queue: rank, remaining time of the chain, deadline, order of arrival.
+type QueueKey = (u32, Duration, Instant, WaitingId);
 
 /// A call that requests a slot.
 #[derive(Debug)]
 pub struct QueuedCall<T> {
     /// Rank; 0 is the most urgent.
     pub rank: u32,
+    /// Time that its chain needs after it.
+    pub remaining: Duration,
     /// Instant by which the response is needed.
     pub deadline: Instant,
     /// Shortest time in which the endpoint is expected to respond.
@@ -119,15 +122,15 @@
             self.running += 1;
             return EnqueueOutcome::Start(queued.call);
         }
-        let key = (queued.rank, queued.deadline, self.next_id);
+        let key = (queued.rank, queued.remaining, queued.deadline, self.next_id);
         let ahead = self.waiting.range(..key).count();
         if self.would_miss_deadline(now, ahead, &queued) {
             return EnqueueOutcome::Refused(queued.call);
         }
         self.next_id += 1;
-        self.keys.insert(key.2, key);
+        self.keys.insert(key.3, key);
         self.waiting.insert(key, queued);
-        EnqueueOutcome::Waiting(key.2)
+        EnqueueOutcome::Waiting(key.3)
     }
 
     /// Removes a waiting call so that it never starts.
@@ -157,7 +160,7 @@
             .find(|(_, queued)| now + queued.min_time < queued.deadline)
             .map(|(key, _)| *key)?;
         self.running += 1;
-        self.keys.remove(&key.2);
+        self.keys.remove(&key.3);
         self.waiting.remove(&key).map(|queued| queued.call)
     }
 
@@ -167,7 +170,7 @@
         let mut late = Vec::new();
         for (key, queued) in &self.waiting {
             if self.would_miss_deadline(now, ahead, queued) {
-                late.push(key.2);
+                late.push(key.3);
             } else {
                 ahead += 1;
             }
--- a/crates/policy/src/queue/tests.rs
+++ b/crates/policy/src/queue/tests.rs
@@ -10,6 +10,7 @@
 fn queued(now: Instant, rank: u32, deadline: u32, call: &'static str) -> QueuedCall<&'static str> {
     QueuedCall {
         rank,
+        remaining: Duration::ZERO,
         deadline: now + MS * deadline,
         min_time: MS * 5,
         call,
@@ -48,6 +49,29 @@
     assert_eq!(order, ["a", "b", "c", "d"]);
 }
 
+/// Guards against chains that are overtaken shortly before their end, so that the work of all their
+/// calls is wasted.
+#[test]
+fn calls_of_chains_that_are_nearly_done_go_first() {
+    let now = Instant::now();
+    let mut queue = busy(now);
+    for (remaining, deadline, call) in [(600, 400, "new"), (0, 900, "last"), (300, 300, "half")] {
+        let queued = QueuedCall {
+            remaining: MS * remaining,
+            ..queued(now, 1, deadline, call)
+        };
+        let outcome = queue.enqueue(now, queued);
+        assert!(matches!(outcome, EnqueueOutcome::Waiting(_)));
+    }
+    let order: Vec<_> = (0..3)
+        .map(|_| {
+            queue.finish(MS * 10);
+            queue.start_next(now).unwrap()
+        })
+        .collect();
+    assert_eq!(order, ["last", "half", "new"]);
+}
+
 #[test]
 fn a_call_that_cannot_finish_in_time_is_refused_at_once() {
     let now = Instant::now();
--- a/crates/policy/tests/histories.rs
+++ b/crates/policy/tests/histories.rs
@@ -301,6 +301,7 @@
         let call = &self.calls[job.call];
         let queued = QueuedCall {
             rank: call.route.rank,
+            remaining: Duration::from_millis(call.deadline_ms % 3),
             deadline: self.instant(call.deadline_ms),
             min_time: Duration::from_millis(20),
             call: job,
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -481,6 +481,9 @@
             left_us: left.as_micros() as u64,
             share: self.share,
             history,
+            remaining_ms: self
+                .nested
+                .map_or(0, |nested| nested.remaining.as_millis() as u32),
             target: self.request.target.clone(),
             kind: CallKind {
                 instance: entry.endpoint.instance.to_string(),
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -120,6 +120,8 @@
     pub share: Option<u16>,
     /// What happened to it before.
     pub history: CallHistory,
+    /// Time that its chain needs after it, in milliseconds.
+    pub remaining_ms: u32,
     /// Path and query.
     pub target: String,
     /// Fields that it shares with other calls.
@@ -273,6 +275,7 @@
         left_us: u64,
         share: Option<u16>,
         history: CallHistory,
+        remaining_ms: u32,
         target: String,
         kind: Interned<CallKind>,
     },
@@ -414,6 +417,7 @@
                 left_us: call.left_us,
                 share: call.share,
                 history: call.history,
+                remaining_ms: call.remaining_ms,
                 target: call.target.clone(),
                 kind: intern(&mut self.kinds, &call.kind),
             },
@@ -494,6 +498,7 @@
                 left_us,
                 share,
                 history,
+                remaining_ms,
                 target,
                 kind,
             } => {
@@ -502,6 +507,7 @@
                     left_us,
                     share,
                     history,
+                    remaining_ms,
                     target,
                     kind: resolve(&mut self.kinds, kind)?,
                 };
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -16,6 +16,7 @@
                 retry: true,
                 ..CallHistory::default()
             },
+            remaining_ms: 450,
             target: "/a/b".to_owned(),
             kind: CallKind {
                 instance: "i-1".to_owned(),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -76,6 +76,9 @@
 /// Largest admission share, in thousandths.
 const MAX_SHARE: u16 = (demand::MAX_SHARE * SHARE_SCALE) as u16;
 
+/// Admission share of a chain, in thousandths, below which it counts as one of too many.
+const SCARCE_SHARE: u16 = 600;
+
 /// Smallest change of the admission share that is sent to other daemons, in thousandths.
 const MIN_SHARE_CHANGE: u16 = 30;
 
@@ -205,6 +208,8 @@
     history: CallHistory,
     route: String,
     deadline: Deadline,
+    /// Time that the chain needs after it.
+    remaining: Duration,
     /// Nested calls made so far.
     made: Cell<u32>,
     usage: RefCell<BTreeMap<ServiceName, u32>>,
@@ -217,7 +222,9 @@
     pub of_retry: bool,
     /// Whether its chain was refused before and has returned.
     pub returned: bool,
-    /// Whether the run that made it can no longer end in time.
+    /// Time that its chain needs after it.
+    pub remaining: Duration,
+    /// Whether its chain can no longer end in time.
     pub is_late: bool,
 }
 
@@ -228,6 +235,7 @@
             history: job.call.history,
             route: job.call.kind.route.clone(),
             deadline: job.deadline,
+            remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
             made: Cell::new(0),
             usage: RefCell::default(),
         }
@@ -371,14 +379,15 @@
     pub fn count_nested(&self, daemon: &Daemon, parent: &ParentCall) -> NestedCall {
         let made = parent.made.get() + 1;
         parent.made.set(made);
-        let remaining = self.progress.borrow().remaining(&parent.route, made);
+        let own = self.progress.borrow().remaining(&parent.route, made);
         let left = parent
             .deadline
             .left(daemon.clock.now(), daemon.clock.boot());
         NestedCall {
             of_retry: parent.history.retry || parent.history.of_retry,
             returned: parent.history.returned,
-            is_late: progress::cannot_finish(left, remaining),
+            remaining: parent.remaining + own,
+            is_late: progress::cannot_finish(left, own),
         }
     }
 
@@ -459,6 +468,7 @@
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
             rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.nested),
+            remaining: queue_remaining(&job.call),
             deadline: job.deadline.at,
             min_time: min_time.max(MIN_RESPONSE_TIME),
             call: (id, job),
@@ -785,6 +795,19 @@
     }
 }
 
+/// Returns the remaining time of a call's chain for the order of the queue.
+///
+/// The order counts it only for chains that were admitted while their services had far too little
+/// room: otherwise all chains can finish, and those that have just begun must not be overtaken until
+/// they are late.
+fn queue_remaining(call: &CallHead) -> Duration {
+    if call.share.is_some_and(|share| share < SCARCE_SHARE) {
+        Duration::from_millis(u64::from(call.remaining_ms))
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Sends a job's request to the endpoint and awaits its response.
 async fn run(daemon: &Rc<Daemon>, pool: &Pool, job: &Job) -> Outcome {
     let outgoing = Outgoing {
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -118,6 +118,7 @@
         left_us: 5_000_000,
         share: Some(1_000),
         history: CallHistory::default(),
+        remaining_ms: 0,
         target: "/".to_owned(),
         kind: CallKind {
             instance: instance.to_owned(),
