--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -28,7 +28,7 @@
 const MAX_REMOTE_PENALTY_FRACTION: f64 = 0.5;
 
 /// Penalty for an endpoint whose dependencies have no headroom, as a fraction of the objective.
-const NO_HEADROOM_PENALTY_FRACTION: f64 = 0.3;
+const NO_HEADROOM_PENALTY_FRACTION: f64 = 0.6;
 
 /// Penalty for an endpoint that refuses every call, as a fraction of the objective. A refused call
 /// is retried only within the operators' retry bound, so its loss counts like a missed objective.
