--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -165,7 +165,9 @@
                 Ok(next) => {
                     self.record_success(&daemon);
                     delay.reset();
-                    wait = WATCH_TIMEOUT;
+                    if revision.is_some() {
+                        wait = WATCH_TIMEOUT;
+                    }
                     revision = Some(next);
                 }
                 Err(StoreError::Compacted) => {
@@ -177,6 +179,11 @@
                     self.wait_for_store(&daemon, delay.next(random(&daemon)))
                         .await;
                     wait = CHECK_WATCH_TIMEOUT;
+                    // A listing shows at once what a watch that is never answered would miss.
+                    if matches!(part, StorePart::Configuration) {
+                        freshness = Freshness::Current;
+                        revision = None;
+                    }
                 }
             }
         }
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -14,7 +14,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-use super::{Discovery, VM_PREFIX, WATCH_TIMEOUT, must_request};
+use super::{Discovery, StorePart, VM_PREFIX, WATCH_TIMEOUT, must_request};
 use crate::daemon::Daemon;
 use crate::testing::{announcement, daemon, daemon_with};
 
@@ -155,3 +155,37 @@
         expected
     );
 }
+
+const LISTING: &str = include_str!("../../../../platform/examples/listing.json");
+
+/// Guards against a configuration that is in force too late because the first watch after a failed
+/// call is never answered (CONFIG on scale-2 of two sites, while the history was compacted).
+#[tokio::test]
+async fn the_configuration_is_listed_again_after_a_failed_watch() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let store = Store::new(listener.local_addr().unwrap(), Duration::from_secs(1));
+            let (daemon, _) = daemon_with(store);
+            let discovery = Rc::new(Discovery::default());
+            let follow = discovery.follow(Rc::clone(&daemon), StorePart::Configuration);
+            tokio::task::spawn_local(follow);
+            let mut calls = Vec::new();
+            while calls.len() < 3 {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = vec![0; 1_024];
+                let count = stream.read(&mut request).await.unwrap();
+                let request = String::from_utf8_lossy(&request[..count]).into_owned();
+                if request.contains("range") {
+                    let length = LISTING.len();
+                    let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+                    let response = format!("{head}Content-Length: {length}\r\n\r\n{LISTING}");
+                    stream.write_all(response.as_bytes()).await.unwrap();
+                }
+                // A watch gets no answer: its connection ends here.
+                calls.push(request.contains("range"));
+            }
+            assert_eq!(calls, [true, false, true]);
+        })
+        .await;
+}
