--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -19,6 +19,9 @@
 
 const RESPONSE: &str = include_str!("../../../../platform/examples/answer.http");
 
+/// A refusal without the id of its request.
+const REFUSAL: &str = include_str!("../../../../platform/examples/refusal.http");
+
 /// Longest time for which endless bytes may keep a call waiting. Calls have at least 700 ms.
 const BOUND: Duration = Duration::from_millis(500);
 
@@ -82,10 +85,7 @@
 #[case::chunk_extension(&head("Transfer-Encoding: chunked\r\n"), ";extension=0123456789abcdef")]
 #[case::trailer(&(head("Transfer-Encoding: chunked\r\n") + "0\r\n"), "X-Filler: 0123456789abcdef\r\n")]
 #[case::empty_lines("", "\r\n\r\n\r\n\r\n")]
-#[case::responses_to_others(
-    "",
-    "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n"
-)]
+#[case::responses_to_others("", &RESPONSE.replace("ID", "b"))]
 #[tokio::test]
 async fn a_response_without_end_fails_and_closes_the_connection(
     #[case] start: &str,
@@ -178,9 +178,7 @@
                 let response = RESPONSE.replace("ID", "a");
                 stream.write_all(response.as_bytes()).await.unwrap();
                 read_request(&mut stream).await;
-                let late = "HTTP/1.1 503 Service Unavailable\r\n\
-                    X-Sapphiredoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-                stream.write_all(late.as_bytes()).await.unwrap();
+                stream.write_all(REFUSAL.as_bytes()).await.unwrap();
                 stream
             };
             let calls = async {
