Log and count what endpoints state about their rate limit and departure

The logs could not tell whether a gate knew the limit that its endpoint names. The adapter decodes both fields; the gate logs each change with the number of calls sent, without any other effect.

--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use adapter::request::{self, ForwardedRequest};
-use adapter::response::RunStatus;
+use adapter::response::{Response, RunStatus};
 use bytes::Bytes;
 use log::info;
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
@@ -27,6 +27,7 @@
 use crate::frame::{
     CallHead, CallHistory, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown,
 };
+use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
 
 #[cfg(test)]
@@ -289,6 +290,10 @@
     demand: RefCell<DemandEstimator>,
     /// Elastic work that the endpoint can take and that is demanded of it.
     room: Cell<ElasticRoom>,
+    /// Rate limit that the endpoint's last response states.
+    rate_limit: Cell<Option<f64>>,
+    /// Whether the endpoint's last response states that it leaves.
+    says_leaving: Cell<bool>,
     /// Mean fraction of calls that the endpoint does not refuse.
     accepted: Cell<f64>,
     next_id: Cell<JobId>,
@@ -313,6 +318,8 @@
             parents: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandEstimator::new(now)),
             room: Cell::default(),
+            rate_limit: Cell::new(None),
+            says_leaving: Cell::new(false),
             accepted: Cell::new(1.0),
             next_id: Cell::new(1),
             queued: Notify::new(),
@@ -692,6 +699,20 @@
         job.sender.send(Outcome::NotRun(reason), self.load());
     }
 
+    /// Logs what the endpoint states in its responses, when it changes.
+    fn apply_statement(&self, daemon: &Daemon, response: &Response) {
+        let before = self.rate_limit.replace(response.rate_limit);
+        if before != response.rate_limit {
+            let limit = response.rate_limit.unwrap_or(NO_RATE_LIMIT);
+            daemon.metrics.rate_limit.set(limit);
+            let load = self.load();
+            info!(event = "endpoint_rate_limit", limit = limit, before = before.unwrap_or(NO_RATE_LIMIT), sent = daemon.metrics.sent.get(), calls = load.calls, slots = load.limit; "");
+        }
+        if self.says_leaving.replace(response.leaving) != response.leaving {
+            info!(event = "endpoint_leaving", leaving = response.leaving, sent = daemon.metrics.sent.get(); "");
+        }
+    }
+
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
@@ -827,6 +848,9 @@
         }
         Ok(Exchange::Failed(reason)) => Outcome::Unknown(reason),
         Ok(Exchange::Answered(response, body)) => {
+            if matches!(response.run_status, RunStatus::Ran | RunStatus::NotRun) {
+                daemon.gate.apply_statement(daemon, &response);
+            }
             match response.run_status {
                 RunStatus::Ran => {}
                 RunStatus::NotRun => return Outcome::NotRun(NotRun::Rejected),
@@ -871,5 +895,6 @@
     let mut bytes = Vec::with_capacity(512 + job.body.len());
     request::encode(&forward, &mut bytes);
     bytes.extend_from_slice(&job.body);
+    daemon.metrics.sent.inc();
     Ok(bytes)
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -3,14 +3,17 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds: the latency objectives of the deployments lie
 /// between 0.15 s and 4 s.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0];
 
+/// Value of the rate limit metric while the endpoint states no limit.
+pub const NO_RATE_LIMIT: f64 = -1.0;
+
 /// Metrics of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -23,6 +26,10 @@
     pub retries: IntCounter,
     /// Calls that the gate refused, by reason.
     pub refused: IntCounterVec,
+    /// Calls sent to the endpoint.
+    pub sent: IntCounter,
+    /// Calls per second that the endpoint takes, as it states; -1 without a limit.
+    pub rate_limit: Gauge,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -63,6 +70,19 @@
         let retries = IntCounter::new("sapphiredoor_repeats_total", "Retries of calls")
             .expect("names of metrics are valid");
         register(&registry, retries.clone());
+        let sent = IntCounter::new(
+            "sapphiredoor_gate_sends_total",
+            "Calls sent to the endpoint",
+        )
+        .expect("names of metrics are valid");
+        register(&registry, sent.clone());
+        let rate_limit = Gauge::new(
+            "sapphiredoor_endpoint_rate_limit",
+            "Calls per second that the endpoint takes, as it states; -1 without a limit",
+        )
+        .expect("names of metrics are valid");
+        rate_limit.set(NO_RATE_LIMIT);
+        register(&registry, rate_limit.clone());
         Self {
             calls: counters(
                 "sapphiredoor_calls_total",
@@ -89,6 +109,8 @@
             ),
             latency,
             retries,
+            sent,
+            rate_limit,
             registry,
         }
     }
