Reproduce the exceeded rate limit in tests of the gate

A stand-in endpoint states a limit of 10 calls a second; the gate sends 3,400 in 4 s. A restarted daemon sends a full load before the first response.

--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use adapter::request::{self, ForwardedRequest};
-use adapter::response::{Response, RunStatus};
+use adapter::response::{RunStatus, Statement};
 use bytes::Bytes;
 use log::info;
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
@@ -30,6 +30,8 @@
 use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
 
+#[cfg(test)]
+mod statement_tests;
 #[cfg(test)]
 mod tests;
 
@@ -290,10 +292,8 @@
     demand: RefCell<DemandEstimator>,
     /// Elastic work that the endpoint can take and that is demanded of it.
     room: Cell<ElasticRoom>,
-    /// Rate limit that the endpoint's last response states.
-    rate_limit: Cell<Option<f64>>,
-    /// Whether the endpoint's last response states that it leaves.
-    says_leaving: Cell<bool>,
+    /// What the endpoint's last response states.
+    statement: Cell<Statement>,
     /// Mean fraction of calls that the endpoint does not refuse.
     accepted: Cell<f64>,
     next_id: Cell<JobId>,
@@ -318,8 +318,7 @@
             parents: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandEstimator::new(now)),
             room: Cell::default(),
-            rate_limit: Cell::new(None),
-            says_leaving: Cell::new(false),
+            statement: Cell::default(),
             accepted: Cell::new(1.0),
             next_id: Cell::new(1),
             queued: Notify::new(),
@@ -700,16 +699,17 @@
     }
 
     /// Logs what the endpoint states in its responses, when it changes.
-    fn apply_statement(&self, daemon: &Daemon, response: &Response) {
-        let before = self.rate_limit.replace(response.rate_limit);
-        if before != response.rate_limit {
-            let limit = response.rate_limit.unwrap_or(NO_RATE_LIMIT);
+    fn apply_statement(&self, daemon: &Daemon, statement: Statement) {
+        let before = self.statement.replace(statement);
+        let limit = statement.rate_limit.unwrap_or(NO_RATE_LIMIT);
+        let sent = daemon.metrics.sent.get();
+        if before.rate_limit != statement.rate_limit {
             daemon.metrics.rate_limit.set(limit);
             let load = self.load();
-            info!(event = "endpoint_rate_limit", limit = limit, before = before.unwrap_or(NO_RATE_LIMIT), sent = daemon.metrics.sent.get(), calls = load.calls, slots = load.limit; "");
+            info!(event = "endpoint_rate_limit", limit = limit, before = before.rate_limit.unwrap_or(NO_RATE_LIMIT), sent = sent, calls = load.calls, slots = load.limit; "");
         }
-        if self.says_leaving.replace(response.leaving) != response.leaving {
-            info!(event = "endpoint_leaving", leaving = response.leaving, sent = daemon.metrics.sent.get(); "");
+        if before.leaving != statement.leaving {
+            info!(event = "endpoint_leaving", leaving = statement.leaving, sent = sent; "");
         }
     }
 
@@ -849,7 +849,7 @@
         Ok(Exchange::Failed(reason)) => Outcome::Unknown(reason),
         Ok(Exchange::Answered(response, body)) => {
             if matches!(response.run_status, RunStatus::Ran | RunStatus::NotRun) {
-                daemon.gate.apply_statement(daemon, &response);
+                daemon.gate.apply_statement(daemon, response.statement);
             }
             match response.run_status {
                 RunStatus::Ran => {}
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -90,6 +90,9 @@
         .into()
 }
 
+/// Time of day of [`RuntimeClock`], in milliseconds since the Unix epoch.
+pub(crate) const PROCESS_START_MS: u64 = 100_000;
+
 /// Clock of the tokio runtime, which tests can pause.
 #[derive(Debug)]
 pub(crate) struct RuntimeClock;
@@ -100,7 +103,7 @@
     }
 
     fn wall(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH
+        SystemTime::UNIX_EPOCH + Duration::from_millis(PROCESS_START_MS)
     }
 
     fn boot(&self) -> Duration {
