Start calls to an endpoint at the rate limit that it states

The gate started calls by free slots alone and passed the endpoint's statement on to clients unread. All calls to an endpoint pass its gate, so a token bucket in the queue of the gate holds the rate for all machines. The gate reports slots and hold time whose quotient is the rate; entries place and admit by that.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,9 +18,11 @@
 pub mod level;
 pub mod limit;
 pub mod member;
+
 pub mod pacing;
 pub mod progress;
 pub mod queue;
+pub mod rate_limit;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,4 +1,4 @@
-//! Priority queue and concurrency limit of one endpoint, in the daemon in front of it.
+//! Priority queue, concurrency limit and rate limit of one endpoint, in the daemon in front of it.
 //!
 //! Protects an endpoint against more load than it has slots for. Every call to the endpoint passes
 //! this queue, so rank and deadline are enforced in one place. Calls start by rank and, within a
@@ -9,6 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::rate_limit::RateLimiter;
+
 #[cfg(test)]
 mod tests;
 
@@ -64,6 +66,8 @@
 #[derive(Debug)]
 pub struct EndpointQueue<T> {
     limit: usize,
+    /// Limits the rate of starts while the endpoint states that it is overloaded.
+    rate_limiter: RateLimiter,
     running: usize,
     mean_hold_time: Duration,
     next_id: WaitingId,
@@ -77,6 +81,7 @@
     pub fn new(slots: u32) -> Self {
         let mut queue = Self {
             limit: 1,
+            rate_limiter: RateLimiter::default(),
             running: 0,
             mean_hold_time: INITIAL_HOLD_TIME,
             next_id: 0,
@@ -98,6 +103,31 @@
         self.limit
     }
 
+    /// Applies the rate limit that a response of the endpoint states, in calls per second, or that
+    /// it states none.
+    pub fn apply_rate_limit(&mut self, now: Instant, limit: Option<f64>) {
+        self.rate_limiter.apply_limit(now, limit);
+    }
+
+    /// Ends the rate limit: another instance has replaced the endpoint.
+    pub fn clear_rate_limit(&mut self) {
+        self.rate_limiter.clear();
+    }
+
+    /// Returns how many calls may run at once and for how long each holds its slot, so that their
+    /// quotient is the rate at which calls can be finished.
+    #[must_use]
+    pub fn capacity(&self) -> (usize, Duration) {
+        let hold_time = self.mean_hold_time;
+        let Some(rate) = self.rate_limiter.rate() else {
+            return (self.limit, hold_time);
+        };
+        let concurrent = (rate * hold_time.as_secs_f64()) as usize;
+        let limit = concurrent.clamp(1, self.limit);
+        let paced = Duration::from_secs_f64(limit as f64 / rate);
+        (limit, paced.max(hold_time))
+    }
+
     /// Returns the number of running calls.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -118,8 +148,8 @@
 
     /// Starts, queues or refuses a call.
     pub fn enqueue(&mut self, now: Instant, queued: QueuedCall<T>) -> EnqueueOutcome<T> {
-        if self.running < self.limit && self.waiting.is_empty() {
-            self.running += 1;
+        if self.may_start(now) && self.waiting.is_empty() {
+            self.record_start(now);
             return EnqueueOutcome::Start(queued.call);
         }
         let key = (queued.rank, queued.remaining, queued.deadline, self.next_id);
@@ -151,7 +181,7 @@
     ///
     /// Calls that cannot be served in time stay queued for [`EndpointQueue::expire`].
     pub fn start_next(&mut self, now: Instant) -> Option<T> {
-        if self.running >= self.limit {
+        if !self.may_start(now) {
             return None;
         }
         let key = self
@@ -159,7 +189,7 @@
             .iter()
             .find(|(_, queued)| now + queued.min_time < queued.deadline)
             .map(|(key, _)| *key)?;
-        self.running += 1;
+        self.record_start(now);
         self.keys.remove(&key.3);
         self.waiting.remove(&key).map(|queued| queued.call)
     }
@@ -187,18 +217,29 @@
 
     /// Returns the expected wait of a call behind all others.
     #[must_use]
-    pub fn next_wait(&self) -> Duration {
-        self.expected_wait(self.waiting.len())
+    pub fn next_wait(&self, now: Instant) -> Duration {
+        self.expected_wait(now, self.waiting.len())
+    }
+
+    /// Whether a slot is free and the rate limit allows a start.
+    fn may_start(&self, now: Instant) -> bool {
+        self.running < self.limit && self.rate_limiter.allows(now)
+    }
+
+    fn record_start(&mut self, now: Instant) {
+        self.running += 1;
+        self.rate_limiter.record_start(now);
     }
 
     /// Returns the expected wait of a call with `ahead` calls before it.
-    fn expected_wait(&self, ahead: usize) -> Duration {
+    fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
         let busy = (self.running + ahead + 1).saturating_sub(self.limit);
-        self.mean_hold_time.mul_f64(busy as f64 / self.limit as f64)
+        let slot = self.mean_hold_time.mul_f64(busy as f64 / self.limit as f64);
+        slot.max(self.rate_limiter.wait(now, ahead))
     }
 
     fn would_miss_deadline(&self, now: Instant, ahead: usize, queued: &QueuedCall<T>) -> bool {
-        now + self.expected_wait(ahead) + queued.min_time >= queued.deadline
+        now + self.expected_wait(now, ahead) + queued.min_time >= queued.deadline
     }
 }
 
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -355,10 +355,11 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let queue = self.queue.borrow();
+        let (limit, hold_time) = queue.capacity();
         Load {
             calls: (queue.running() + queue.waiting()) as u32,
-            limit: queue.limit() as u32,
-            held_us: queue.mean_hold_time().as_micros() as u32,
+            limit: limit as u32,
+            held_us: hold_time.as_micros() as u32,
             room: self.room.get().room as u32,
             demand: self.room.get().demand as u32,
             accepted: (self.accepted.get() * SHARE_SCALE) as u16,
@@ -422,7 +423,7 @@
             let now = daemon.clock.now();
             let load: selection::Load = self.load().into();
             let mut demand = self.demand.borrow_mut();
-            demand.adjust(self.queue.borrow().next_wait(), load.hold_time);
+            demand.adjust(self.queue.borrow().next_wait(now), load.hold_time);
             let room = demand.room(now, load.capacity());
             drop(demand);
             self.room.set(room);
@@ -556,6 +557,7 @@
                     return false;
                 }
                 self.pool.clear();
+                self.queue.borrow_mut().clear_rate_limit();
                 true
             }
         };
@@ -698,17 +700,24 @@
         job.sender.send(Outcome::NotRun(reason), self.load());
     }
 
-    /// Logs what the endpoint states in its responses, when it changes.
+    /// Applies what the endpoint states in a response.
     fn apply_statement(&self, daemon: &Daemon, statement: Statement) {
+        let now = daemon.clock.now();
+        self.queue
+            .borrow_mut()
+            .apply_rate_limit(now, statement.rate_limit);
         let before = self.statement.replace(statement);
-        let limit = statement.rate_limit.unwrap_or(NO_RATE_LIMIT);
         let sent = daemon.metrics.sent.get();
         if before.rate_limit != statement.rate_limit {
+            let limit = statement.rate_limit.unwrap_or(NO_RATE_LIMIT);
             daemon.metrics.rate_limit.set(limit);
-            let load = self.load();
-            info!(event = "endpoint_rate_limit", limit = limit, before = before.rate_limit.unwrap_or(NO_RATE_LIMIT), sent = sent, calls = load.calls, slots = load.limit; "");
+            if daemon.log_limiter.allows(now, "endpoint_rate_limit") {
+                let load = self.load();
+                info!(event = "endpoint_rate_limit", limit = limit, before = before.rate_limit.unwrap_or(NO_RATE_LIMIT), sent = sent, calls = load.calls, slots = load.limit; "");
+            }
         }
-        if before.leaving != statement.leaving {
+        if before.leaving != statement.leaving && daemon.log_limiter.allows(now, "endpoint_leaving")
+        {
             info!(event = "endpoint_leaving", leaving = statement.leaving, sent = sent; "");
         }
     }
@@ -812,6 +821,8 @@
                 self.active.borrow_mut().remove(&id);
                 self.refuse(daemon, job, reason);
             }
+            // A rate limit lets calls start although none has finished.
+            self.start_queued(daemon);
         }
     }
 }
