Send few calls to a running endpoint until it first responds after a restart

An endpoint that started before the daemon now gets five calls at once, the fixed part of what it takes beyond its limit, until a response shows what it states. A daemon whose endpoint starts after it is not held back.

The capacity of a limited endpoint is rounded up, so that it is not below the limit.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -33,6 +33,10 @@
 /// Hold time assumed before the first sample.
 const INITIAL_HOLD_TIME: Duration = Duration::from_millis(50);
 
+/// Calls that run at once at an endpoint that has not responded since this daemon started. An
+/// endpoint takes this many beyond its rate limit.
+pub const MAX_UNPROVEN_CALLS: usize = 5;
+
 /// Position in the queue: rank, remaining time of the chain, deadline, order of arrival.
 type QueueKey = (u32, Duration, Instant, WaitingId);
 
@@ -65,7 +69,9 @@
 /// Queue and slots of one endpoint.
 #[derive(Debug)]
 pub struct EndpointQueue<T> {
-    limit: usize,
+    slots_limit: usize,
+    /// Whether the endpoint has not responded since this daemon started.
+    unproven: bool,
     /// Limits the rate of starts while the endpoint states that it is overloaded.
     rate_limiter: RateLimiter,
     running: usize,
@@ -80,7 +86,8 @@
     #[must_use]
     pub fn new(slots: u32) -> Self {
         let mut queue = Self {
-            limit: 1,
+            slots_limit: 1,
+            unproven: false,
             rate_limiter: RateLimiter::default(),
             running: 0,
             mean_hold_time: INITIAL_HOLD_TIME,
@@ -94,13 +101,23 @@
 
     /// Sets the number of slots. The limit is 95% of them and at least one.
     pub fn set_slots(&mut self, slots: u32) {
-        self.limit = ((f64::from(slots) * SLOT_FRACTION) as usize).max(1);
+        self.slots_limit = ((f64::from(slots) * SLOT_FRACTION) as usize).max(1);
     }
 
     /// Returns the number of calls that may run at once.
     #[must_use]
     pub fn limit(&self) -> usize {
-        self.limit
+        if self.unproven {
+            self.slots_limit.min(MAX_UNPROVEN_CALLS)
+        } else {
+            self.slots_limit
+        }
+    }
+
+    /// Sets whether the endpoint may have stated a rate limit that this daemon does not know. Until
+    /// it responds, at most [`MAX_UNPROVEN_CALLS`] run at once.
+    pub fn set_unproven(&mut self, unproven: bool) {
+        self.unproven = unproven;
     }
 
     /// Applies the rate limit that a response of the endpoint states, in calls per second, or that
@@ -120,10 +137,10 @@
     pub fn capacity(&self) -> (usize, Duration) {
         let hold_time = self.mean_hold_time;
         let Some(rate) = self.rate_limiter.rate() else {
-            return (self.limit, hold_time);
+            return (self.limit(), hold_time);
         };
-        let concurrent = (rate * hold_time.as_secs_f64()) as usize;
-        let limit = concurrent.clamp(1, self.limit);
+        let concurrent = (rate * hold_time.as_secs_f64()).ceil() as usize;
+        let limit = concurrent.clamp(1, self.limit());
         let paced = Duration::from_secs_f64(limit as f64 / rate);
         (limit, paced.max(hold_time))
     }
@@ -223,7 +240,7 @@
 
     /// Whether a slot is free and the rate limit allows a start.
     fn may_start(&self, now: Instant) -> bool {
-        self.running < self.limit && self.rate_limiter.allows(now)
+        self.running < self.limit() && self.rate_limiter.allows(now)
     }
 
     fn record_start(&mut self, now: Instant) {
@@ -233,8 +250,10 @@
 
     /// Returns the expected wait of a call with `ahead` calls before it.
     fn expected_wait(&self, now: Instant, ahead: usize) -> Duration {
-        let busy = (self.running + ahead + 1).saturating_sub(self.limit);
-        let slot = self.mean_hold_time.mul_f64(busy as f64 / self.limit as f64);
+        let busy = (self.running + ahead + 1).saturating_sub(self.limit());
+        let slot = self
+            .mean_hold_time
+            .mul_f64(busy as f64 / self.limit() as f64);
         slot.max(self.rate_limiter.wait(now, ahead))
     }
 
--- a/crates/policy/src/queue/tests.rs
+++ b/crates/policy/src/queue/tests.rs
@@ -151,3 +151,31 @@
         EnqueueOutcome::Refused("short")
     ));
 }
+
+/// Guards against a full load for an endpoint whose rate limit an earlier process has seen.
+#[test]
+fn an_unproven_endpoint_runs_few_calls_at_once() {
+    let now = Instant::now();
+    let mut queue = EndpointQueue::new(100);
+    queue.set_unproven(true);
+    let started = (0..20)
+        .map(|_| queue.enqueue(now, queued(now, 0, 1_000, "x")))
+        .filter(|outcome| matches!(outcome, EnqueueOutcome::Start(_)))
+        .count();
+    assert_eq!(started, 5);
+    queue.set_unproven(false);
+    assert!(queue.start_next(now).is_some());
+}
+
+/// Guards against entries that place calls by slots which the rate limit does not let them use.
+#[test]
+fn the_reported_capacity_is_the_rate_limit() {
+    let now = Instant::now();
+    let mut queue: EndpointQueue<&str> = EndpointQueue::new(36);
+    for limit in [0.5, 3.0, 10.0, 55.0] {
+        queue.apply_rate_limit(now, Some(limit));
+        let (calls, hold_time) = queue.capacity();
+        let rate = calls as f64 / hold_time.as_secs_f64();
+        assert!((rate - limit).abs() < 0.01 * limit, "{rate} for {limit}");
+    }
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -111,7 +111,7 @@
             gate: Gate::new(
                 settings.endpoint.address,
                 settings.bounds.retry_bound(),
-                clock.now(),
+                &*clock,
             ),
             splitter: RefCell::new(WeightedSplitter::new(rng.random())),
             sizes: RefCell::default(),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -12,6 +12,7 @@
 use adapter::response::{RunStatus, Statement};
 use bytes::Bytes;
 use log::info;
+use policy::clock::Clock;
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
 use policy::fleet::{Announcement, State};
 use policy::id::ServiceName;
@@ -276,6 +277,8 @@
 /// Gate of one endpoint.
 #[derive(Debug)]
 pub struct Gate {
+    /// Start of this daemon in milliseconds since the Unix epoch.
+    started_ms: u64,
     announcement: RefCell<Option<Announcement>>,
     leaving: Cell<Option<Leaving>>,
     departures: RefCell<VecDeque<Departure>>,
@@ -304,8 +307,11 @@
 impl Gate {
     /// Creates the gate of the endpoint at an address. Its instance is not known yet.
     #[must_use]
-    pub fn new(address: std::net::SocketAddr, bound: RetryBound, now: Instant) -> Self {
+    pub fn new(address: std::net::SocketAddr, bound: RetryBound, clock: &dyn Clock) -> Self {
+        let now = clock.now();
+        let wall = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         Self {
+            started_ms: wall.unwrap_or_default().as_millis() as u64,
             announcement: RefCell::new(None),
             leaving: Cell::new(None),
             departures: RefCell::default(),
@@ -557,7 +563,9 @@
                     return false;
                 }
                 self.pool.clear();
-                self.queue.borrow_mut().clear_rate_limit();
+                let mut queue = self.queue.borrow_mut();
+                queue.clear_rate_limit();
+                queue.set_unproven(false);
                 true
             }
         };
@@ -568,6 +576,9 @@
             info!(event = "endpoint", instance = &*announcement.instance, service = &*announcement.service, state:? = state, born = announcement.started_ms, sequence = announcement.sequence, slots = announcement.slots; "");
         }
         let first = current.is_none();
+        if first && announcement.started_ms < self.started_ms {
+            self.queue.borrow_mut().set_unproven(true);
+        }
         *current = Some(announcement);
         drop(current);
         self.leaving.set(match (state, self.leaving.get()) {
@@ -703,9 +714,10 @@
     /// Applies what the endpoint states in a response.
     fn apply_statement(&self, daemon: &Daemon, statement: Statement) {
         let now = daemon.clock.now();
-        self.queue
-            .borrow_mut()
-            .apply_rate_limit(now, statement.rate_limit);
+        let mut queue = self.queue.borrow_mut();
+        queue.set_unproven(false);
+        queue.apply_rate_limit(now, statement.rate_limit);
+        drop(queue);
         let before = self.statement.replace(statement);
         let sent = daemon.metrics.sent.get();
         if before.rate_limit != statement.rate_limit {
