Treat an endpoint that states in a response that it leaves as leaving for good

A gate learned of a departure from heartbeats and departure notices alone; a late heartbeat could even make a draining endpoint ready again. The gate now turns the statement into a state of its own that no heartbeat of the same start reverts, and sends it on the connection before the response. Entries keep it in their table of VMs, so a restarted daemon or an older entry of the store does not revert it. The state is new on the wire: protocol version 3.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -33,6 +33,9 @@
     Ready,
     /// It finishes its calls and takes no new ones.
     Draining,
+    /// It stated in its responses that it is about to shut down. Unlike a draining endpoint it does
+    /// not become ready again.
+    Leaving,
     /// It has ended.
     Gone,
 }
@@ -65,18 +68,22 @@
 impl Announcement {
     /// Returns whether this announcement supersedes another one of the same VM.
     ///
-    /// An announcement that the instance is gone supersedes any other of the same instance and
-    /// start, whatever its sequence number, and is not superseded by one.
+    /// Within one instance and start, an announcement that the instance leaves or is gone
+    /// supersedes any other, whatever its sequence number, and is superseded only by one that it is
+    /// gone.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
-        let is_gone = |state: State| state == State::Gone;
-        if self.started_ms != other.started_ms
-            || self.instance == other.instance && is_gone(other.state)
-        {
+        if self.started_ms != other.started_ms {
             return self.started_ms > other.started_ms;
         }
         if self.instance == other.instance {
-            return self.sequence > other.sequence || is_gone(self.state);
+            return match (self.state, other.state) {
+                (_, State::Gone) => false,
+                (State::Gone, _) => true,
+                (_, State::Leaving) => false,
+                (State::Leaving, _) => true,
+                _ => self.sequence > other.sequence,
+            };
         }
         // Two instances with the same start time, or without one, cannot be ordered; the
         // announcement received last counts.
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -52,6 +52,20 @@
     assert!(gone.supersedes(&announcement("i-1", 1_000, 5, State::Draining)));
 }
 
+/// Guards against a late heartbeat that makes an endpoint ready again although it stated in its
+/// responses that it leaves.
+#[test]
+fn a_leaving_instance_does_not_become_ready() {
+    let leaving = announcement("i-1", 1_000, 5, State::Leaving);
+    for state in [State::Ready, State::Draining] {
+        let late = announcement("i-1", 1_000, 9, state);
+        assert!(!late.supersedes(&leaving));
+        assert!(leaving.supersedes(&late));
+    }
+    assert!(announcement("i-1", 1_000, 5, State::Gone).supersedes(&leaving));
+    assert!(announcement("i-1", 1_001, 1, State::Ready).supersedes(&leaving));
+}
+
 #[test]
 fn sequence_orders_announcements_of_one_instance() {
     let older = announcement("i-1", 1_000, 5, State::Ready);
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -20,7 +20,7 @@
 mod tests;
 
 /// Version of this protocol. A daemon refuses connections with another version.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -14,7 +14,7 @@
 use log::info;
 use policy::clock::Clock;
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
-use policy::fleet::{Announcement, State};
+use policy::fleet::{Announcement, InstanceId, State};
 use policy::id::ServiceName;
 use policy::progress::{self, Progress};
 use policy::queue::{EndpointQueue, EnqueueOutcome, QueuedCall, WaitingId};
@@ -337,6 +337,13 @@
         self.announcement.borrow().clone()
     }
 
+    /// Returns the announced instance and its start.
+    fn incarnation(&self) -> Option<(InstanceId, u64)> {
+        let announcement = self.announcement.borrow();
+        let known = announcement.as_ref()?;
+        Some((InstanceId::clone(&known.instance), known.started_ms))
+    }
+
     /// Whether an instance is the announced one.
     fn serves(&self, instance: &str) -> bool {
         let announcement = self.announcement.borrow();
@@ -728,12 +735,31 @@
                 info!(event = "endpoint_rate_limit", limit = limit, before = before.rate_limit.unwrap_or(NO_RATE_LIMIT), sent = sent, calls = load.calls, slots = load.limit; "");
             }
         }
+        if statement.leaving {
+            self.apply_leaving(daemon);
+        }
         if before.leaving != statement.leaving && daemon.log_limiter.allows(now, "endpoint_leaving")
         {
             info!(event = "endpoint_leaving", leaving = statement.leaving, sent = sent; "");
         }
     }
 
+    /// Applies that the endpoint states in its responses that it leaves.
+    fn apply_leaving(&self, daemon: &Daemon) {
+        let mut current = self.announcement.borrow_mut();
+        let Some(known) = current
+            .as_mut()
+            .filter(|known| matches!(known.state, State::Ready | State::Draining))
+        else {
+            return;
+        };
+        known.state = State::Leaving;
+        info!(event = "endpoint", instance = &*known.instance, state:? = known.state; "");
+        drop(current);
+        self.start_draining(daemon);
+        daemon.publish_endpoint();
+    }
+
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
@@ -858,6 +884,7 @@
         id: &job.call.id,
         idempotent: job.call.kind.idempotent,
     };
+    let incarnation = daemon.gate.incarnation();
     let encode = || encode_request(daemon, job);
     let limit = job.deadline.at + TIMEOUT_RESPONSE_GRACE;
     let exchange = pool.exchange(&*daemon.clock, &outgoing, encode);
@@ -871,7 +898,10 @@
         }
         Ok(Exchange::Failed(reason)) => Outcome::Unknown(reason),
         Ok(Exchange::Answered(response, body)) => {
-            if matches!(response.run_status, RunStatus::Ran | RunStatus::NotRun) {
+            // A response of an earlier start under the same id says nothing about the present one.
+            if matches!(response.run_status, RunStatus::Ran | RunStatus::NotRun)
+                && daemon.gate.incarnation() == incarnation
+            {
                 daemon.gate.apply_statement(daemon, response.statement);
             }
             match response.run_status {
--- a/crates/sidecar/src/gate/statement_tests.rs
+++ b/crates/sidecar/src/gate/statement_tests.rs
@@ -2,14 +2,16 @@
 //! calls to an endpoint that states that it is about to shut down.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use adapter::request::Request;
 use adapter::response::Statement;
 use adapter::standin;
-use bytes::BytesMut;
-use policy::fleet::State;
+use bytes::{Bytes, BytesMut};
+use policy::fleet::{State, VmEntry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -17,7 +19,11 @@
 use transport::http1::{Decoder, MessageKind};
 
 use crate::daemon::Daemon;
-use crate::testing::{PROCESS_START_MS, RuntimeClock, announcement, daemon_at, job};
+use crate::forward::{self, Response};
+use crate::inbound;
+use crate::testing::{
+    PROCESS_START_MS, RuntimeClock, announcement, configuration, daemon_at, daemon_of, job,
+};
 
 /// Window over which the platform counts the calls to an endpoint with a rate limit.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -192,3 +198,83 @@
     })
     .await;
 }
+
+/// Serves one request at a daemon, whose route leads to the service of `i-1`.
+async fn request(daemon: &Rc<Daemon>, id: &str) -> Response {
+    let request = Request {
+        id: id.to_owned(),
+        client_timeout: Some(Duration::from_secs(5)),
+        method: "GET".to_owned(),
+        target: "/read/a".to_owned(),
+        host: "shop.example".to_owned(),
+        fields: Vec::new(),
+        body: Bytes::new(),
+    };
+    forward::serve(daemon, request).await
+}
+
+/// Returns the entry of `vm-1`, whose daemon listens at an address.
+fn entry(peer: SocketAddr, sequence: u64) -> VmEntry {
+    VmEntry {
+        vm: "vm-1".into(),
+        peer,
+        data_centre: "madrid".into(),
+        endpoint: announcement("i-1", PROCESS_START_MS, sequence, State::Ready),
+    }
+}
+
+fn says_leaving(endpoint: &Endpoint) {
+    endpoint.statement.set(Statement {
+        rate_limit: None,
+        leaving: true,
+    });
+}
+
+/// Guards against calls to an endpoint that states only in its responses that it leaves, also when
+/// a heartbeat that it sent before arrives late.
+#[tokio::test(start_paused = true)]
+async fn an_endpoint_that_says_it_leaves_gets_no_calls_after_the_drain_bound() {
+    run(async |endpoint, daemon| {
+        announce(&daemon, PROCESS_START_MS, 1, State::Ready);
+        says_leaving(&endpoint);
+        keep_busy(&daemon, Duration::from_millis(100)).await;
+        let told = Instant::now();
+        announce(&daemon, PROCESS_START_MS, 2, State::Ready);
+        keep_busy(&daemon, Duration::from_secs(4)).await;
+        // The operators' bound is 2 s.
+        assert_eq!(endpoint.arrivals_after(told + Duration::from_secs(2)), 0);
+        assert_eq!(daemon.fleet.borrow().ready("despacho").len(), 0);
+        announce(&daemon, PROCESS_START_MS + 1, 1, State::Ready);
+        endpoint.statement.set(Statement::default());
+        let restarted = Instant::now();
+        keep_busy(&daemon, Duration::from_millis(500)).await;
+        assert!(endpoint.arrivals_after(restarted) > 0);
+    })
+    .await;
+}
+
+/// Guards against an entry that sends calls to a leaving endpoint again because its daemon has
+/// restarted or an older entry is read from the store.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_passed_on_a_leaving_response_picks_the_endpoint_no_more() {
+    run(async |endpoint, gate| {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(inbound::listen(Rc::clone(&gate), listener));
+        announce(&gate, PROCESS_START_MS, 1, State::Ready);
+        let unused = "127.0.0.1:9".parse().unwrap();
+        let daemon = daemon_of("vm-2", unused, Arc::new(RuntimeClock));
+        daemon.apply_configuration(configuration(1), 1);
+        daemon.fleet.borrow_mut().apply_write(entry(address, 1), 5);
+        says_leaving(&endpoint);
+        let response = request(&daemon, "1a").await;
+        assert!(matches!(response, Response::Endpoint { status: 200, .. }));
+        assert!(daemon.fleet.borrow().ready("despacho").is_empty());
+        // The restarted daemon of the endpoint writes what a heartbeat says.
+        daemon.fleet.borrow_mut().apply_write(entry(address, 9), 6);
+        assert!(daemon.fleet.borrow().ready("despacho").is_empty());
+        let response = request(&daemon, "2b").await;
+        assert!(matches!(response, Response::Refused { .. }));
+    })
+    .await;
+}
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -57,7 +57,13 @@
 
 /// Creates a daemon whose local endpoint has an address.
 pub(crate) fn daemon_at(endpoint: SocketAddr, clock: Arc<dyn Clock>) -> Rc<Daemon> {
+    daemon_of("vm-1", endpoint, clock)
+}
+
+/// Creates the daemon of a VM whose endpoint has an address.
+pub(crate) fn daemon_of(vm: &str, endpoint: SocketAddr, clock: Arc<dyn Clock>) -> Rc<Daemon> {
     let mut settings = Settings::parse(SETTINGS).unwrap();
+    settings.vm = vm.into();
     settings.endpoint.address = endpoint;
     let store = Store::new(settings.store.address, Duration::from_secs(1));
     Daemon::new(settings, clock, store, Arc::new(AtomicU64::new(0)))
