Log and count the eras of the store

No line told that the store is another one than before. The client decodes the era of each response and the daemon logs when it rises and when a watch is replaced by a listing; nothing else depends on it. The stand-in store of the soak can return from a copy.

--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -19,6 +19,8 @@
 pub type Incarnation = u64;
 /// Revision of a value in the platform; a higher one is newer. Zero means that none was seen.
 pub type Revision = u64;
+/// Number of times that the platform's store has returned from an older copy.
+pub type Era = u64;
 /// Id of a call within the daemon that queues it.
 pub type CallId = u64;
 /// Random id of one call chain.
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -349,6 +349,7 @@
     pub fn update_gauges(&self) {
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.store_calls.set(gauge(self.store.calls()));
+        self.metrics.store_era.set(gauge(self.store.era()));
         self.metrics
             .vms
             .set(gauge(self.fleet.borrow().len() as u64));
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::fleet::{Announcement, State, VmEntry};
-use policy::id::{Revision, ServiceName, VmId};
+use policy::id::{Era, Revision, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
 use rand::Rng;
 use tokio::sync::Notify;
@@ -83,6 +83,8 @@
     write_needed: Notify,
     /// Wakes the watches when the store is reachable again.
     reachable: Notify,
+    /// Highest era of the store that was logged.
+    era: Cell<Option<Era>>,
 }
 
 /// A part of the store that the daemon watches.
@@ -117,6 +119,11 @@
     }
 
     fn record_success(&self, daemon: &Daemon) {
+        let era = daemon.store.era();
+        let before = self.era.replace(Some(era));
+        if before.is_some_and(|before| before < era) {
+            info!(event = "store_restored", era = era, before = before.unwrap_or(0), own_revision = self.own_revision.get().unwrap_or(0); "");
+        }
         if let Some(since) = self.unreachable_since.take() {
             let time = daemon.clock.now().saturating_duration_since(since);
             info!(event = "store_regained", after_ms = time.as_millis() as u64; "");
@@ -139,6 +146,7 @@
             () = self.reachable.notified() => Ok(Changes {
                 events: Vec::new(),
                 revision: after,
+                era: daemon.store.era(),
             }),
         }
     }
@@ -171,6 +179,7 @@
                     revision = Some(next);
                 }
                 Err(StoreError::Compacted) => {
+                    info!(event = "store_listed_again", part = part.name(), after = revision.unwrap_or(0), era = daemon.store.era(); "");
                     freshness = Freshness::Current;
                     revision = None;
                 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -34,6 +34,8 @@
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
     pub version: IntGauge,
+    /// Number of times that the store has returned from an older copy.
+    pub store_era: IntGauge,
     /// Known VMs.
     pub vms: IntGauge,
     /// Log lines dropped because standard output was not read in time.
@@ -102,6 +104,10 @@
                 "sapphiredoor_configuration_version",
                 "Version of the configuration in force",
             ),
+            store_era: gauge(
+                "sapphiredoor_store_era",
+                "Number of times that the store has returned from an older copy",
+            ),
             vms: gauge("sapphiredoor_vms", "Known VMs"),
             lost_lines: gauge(
                 "sapphiredoor_lost_log_lines",
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -9,7 +9,7 @@
 use adapter::standin::{self, StoreCall, Transaction};
 use adapter::store::{Event, Item, LeaseId};
 use bytes::BytesMut;
-use policy::id::Revision;
+use policy::id::{Era, Revision};
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -44,7 +44,7 @@
 }
 
 /// Keys, revisions and leases.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct StoreData {
     items: BTreeMap<String, Item>,
     history: Vec<Event>,
@@ -69,7 +69,7 @@
 
     /// Returns the changes under a prefix after a revision; `None` if they have been discarded.
     fn changes(&self, prefix: &str, after: Revision) -> Option<Vec<Event>> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return None;
         }
         let wanted = |event: &&Event| match event {
@@ -178,6 +178,8 @@
     changed: Notify,
     faults: RefCell<HashMap<VmIndex, Fault>>,
     paused: Cell<bool>,
+    /// Number of returns from an older copy.
+    era: Cell<Era>,
 }
 
 impl Store {
@@ -224,6 +226,23 @@
         data.history.clear();
     }
 
+    /// Returns a copy of the data.
+    #[must_use]
+    pub fn copy(&self) -> StoreData {
+        self.data.borrow().clone()
+    }
+
+    /// Returns from an older copy. What daemons wrote since is lost with their leases; the
+    /// operators write their configuration again.
+    pub fn restore(&self, copy: StoreData) {
+        let lost = self.data.replace(copy);
+        self.era.set(self.era.get() + 1);
+        if let Some(configuration) = lost.items.get(CONFIGURATION_KEY) {
+            self.write_configuration(configuration.value.clone());
+        }
+        self.changed.notify_waiters();
+    }
+
     /// Removes the keys of expired leases until the run ends.
     pub async fn run_expiry(self: Rc<Self>) {
         loop {
@@ -246,7 +265,7 @@
         let mut buffer = BytesMut::new();
         while let Some(message) = net::read_message(&mut stream, &mut decoder, &mut buffer).await {
             let Some(call) = standin::decode_call(&message) else {
-                let unknown = standin::encode_json_response(400, &json!({}));
+                let unknown = standin::encode_json_response(400, self.era.get(), &json!({}));
                 drop(stream.write_all(&unknown).await);
                 return;
             };
@@ -265,7 +284,7 @@
                 }
                 None => self.execute(call, vm).await,
             };
-            let response = standin::encode_json_response(status, &body);
+            let response = standin::encode_json_response(status, self.era.get(), &body);
             if self.faults.borrow().get(&vm) == Some(&Fault::Down)
                 || stream.write_all(&response).await.is_err()
             {
