Reproduce changes that are missed after the store's return from a copy

A daemon that was cut off during the return goes on watching after a revision that was given out twice.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -21,6 +21,8 @@
 use crate::daemon::Daemon;
 use crate::peer;
 
+#[cfg(test)]
+mod era_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -55,6 +55,17 @@
     (daemon, clock)
 }
 
+/// Creates a daemon with a store client and the clock of the runtime.
+pub(crate) fn daemon_with_clock(store: Store) -> Rc<Daemon> {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    Daemon::new(
+        settings,
+        Arc::new(RuntimeClock),
+        store,
+        Arc::new(AtomicU64::new(0)),
+    )
+}
+
 /// Creates a daemon whose local endpoint has an address.
 pub(crate) fn daemon_at(endpoint: SocketAddr, clock: Arc<dyn Clock>) -> Rc<Daemon> {
     daemon_of("vm-1", endpoint, clock)
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -41,6 +41,8 @@
     Deaf(Duration),
     /// Closes connections without a response.
     Down,
+    /// Accepts requests and neither executes them nor responds.
+    Silent,
 }
 
 /// Keys, revisions and leases.
@@ -57,6 +59,18 @@
 }
 
 impl StoreData {
+    /// Returns the value of a key.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Returns the lease to which a key is attached.
+    #[must_use]
+    pub fn lease(&self, key: &str) -> Option<LeaseId> {
+        self.items.get(key).map(|item| item.lease)
+    }
+
     /// Returns the entries under a prefix whose keys come after a key.
     fn list(&self, prefix: &str, after: Option<&str>) -> Vec<Item> {
         let items = self.items.values();
@@ -171,6 +185,11 @@
     }
 }
 
+/// Returns the time of the runtime, which tests can pause.
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 /// Stand-in store.
 #[derive(Debug, Default)]
 pub struct Store {
@@ -204,8 +223,7 @@
             ..Transaction::default()
         };
         // A write without a condition or a lease always succeeds.
-        self.data.borrow_mut().commit(transaction);
-        self.changed.notify_waiters();
+        self.write(transaction);
     }
 
     /// Ends all leases without notifying their owners.
@@ -226,6 +244,17 @@
         data.history.clear();
     }
 
+    /// Applies an unconditional write.
+    pub fn write(&self, transaction: Transaction) {
+        self.data.borrow_mut().commit(transaction);
+        self.changed.notify_waiters();
+    }
+
+    /// Opens a lease; returns its id.
+    pub fn open_lease(&self, lifetime: Duration) -> LeaseId {
+        self.data.borrow_mut().open_lease(now(), lifetime)
+    }
+
     /// Returns a copy of the data.
     #[must_use]
     pub fn copy(&self) -> StoreData {
@@ -247,7 +276,7 @@
     pub async fn run_expiry(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
-            if !self.paused.get() && self.data.borrow_mut().expire_leases(Instant::now()) {
+            if !self.paused.get() && self.data.borrow_mut().expire_leases(now()) {
                 self.changed.notify_waiters();
             }
         }
@@ -272,6 +301,7 @@
             let fault = self.faults.borrow().get(&vm).copied();
             let (status, body) = match fault {
                 Some(Fault::Down) => return,
+                Some(Fault::Silent) => return std::future::pending().await,
                 Some(Fault::Refusing(status)) => (status, json!({})),
                 Some(Fault::Deaf(delay)) => {
                     tokio::time::sleep(delay).await;
@@ -294,7 +324,7 @@
     }
 
     async fn execute(&self, call: StoreCall, vm: VmIndex) -> (u16, Value) {
-        let now = Instant::now();
+        let now = now();
         match call {
             StoreCall::Get(key) => {
                 let data = self.data.borrow();
@@ -346,14 +376,17 @@
                 let data = self.data.borrow();
                 match data.changes(prefix, after) {
                     None => return (410, json!({})),
-                    Some(events) if !events.is_empty() || Instant::now() >= end => {
+                    Some(events) if !events.is_empty() || now() >= end => {
                         return (200, standin::encode_changes(&events, data.revision));
                     }
                     Some(_) => {}
                 }
             }
-            if self.faults.borrow().get(&vm) == Some(&Fault::Down) {
-                return (503, json!({}));
+            let fault = self.faults.borrow().get(&vm).copied();
+            match fault {
+                Some(Fault::Down) => return (503, json!({})),
+                Some(Fault::Silent) => return std::future::pending().await,
+                _ => {}
             }
             // A timeout ends the wait too; the next iteration then returns, as the watch has ended.
             drop(tokio::time::timeout_at(end.into(), changed).await);
