Order what is read from the store by era and revision

Callers were routed by an old configuration for as long as no newer one came: daemons compared revisions of two histories after the store had returned from a copy. A watch went on after a revision that had been given out twice and missed what lay below; entries with lower revisions were ignored; removed VMs stayed; a daemon whose own entry had gone back to an older state believed it up to date. The class of fault is a counter that is compared across a reset.

Each position is now an era and a revision. A lease of an earlier era is kept only if the own entry in the copy is attached to it.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -12,7 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{DataCentreName, Revision, ServiceName, VmId};
+use crate::id::{DataCentreName, ServiceName, VmId};
+use crate::position::Position;
 
 #[cfg(test)]
 mod tests;
@@ -108,7 +109,7 @@
 #[derive(Debug)]
 struct Member {
     entry: VmEntry,
-    revision: Revision,
+    position: Position,
     missing_since: Option<Instant>,
 }
 
@@ -127,13 +128,13 @@
     }
 
     /// Applies an entry that was written to the store; returns whether the table changed.
-    pub fn apply_write(&mut self, entry: VmEntry, revision: Revision) -> bool {
+    pub fn apply_write(&mut self, entry: VmEntry, position: Position) -> bool {
         let vm = VmId::clone(&entry.vm);
         if let Some(member) = self.members.get_mut(&vm) {
-            if revision < member.revision {
+            if position < member.position {
                 return false;
             }
-            member.revision = revision;
+            member.position = position;
             member.missing_since = None;
             member.entry.peer = entry.peer;
             if !entry.endpoint.supersedes(&member.entry.endpoint) {
@@ -143,7 +144,7 @@
         } else {
             let member = Member {
                 entry,
-                revision,
+                position,
                 missing_since: None,
             };
             self.members.insert(vm, member);
@@ -166,21 +167,21 @@
         true
     }
 
-    /// Marks an entry that left the store at a revision as missing.
-    pub fn apply_removal(&mut self, now: Instant, vm: &str, revision: Revision) {
+    /// Marks an entry that left the store at a position as missing.
+    pub fn apply_removal(&mut self, now: Instant, vm: &str, position: Position) {
         if let Some(member) = self.members.get_mut(vm)
-            && revision >= member.revision
+            && position >= member.position
         {
-            member.revision = revision;
+            member.position = position;
             member.missing_since.get_or_insert(now);
         }
     }
 
-    /// Marks every entry that a full listing of the store at a revision lacks as missing.
-    pub fn apply_listing(&mut self, now: Instant, vms: &[VmId], revision: Revision) {
+    /// Marks every entry that a full listing of the store at a position lacks as missing.
+    pub fn apply_listing(&mut self, now: Instant, vms: &[VmId], position: Position) {
         let vms: BTreeSet<&VmId> = vms.iter().collect();
         for (vm, member) in &mut self.members {
-            if member.revision <= revision && !vms.contains(vm) {
+            if member.position <= position && !vms.contains(vm) {
                 member.missing_since.get_or_insert(now);
             }
         }
@@ -231,11 +232,11 @@
         self.members.get(vm).map(|member| &member.entry)
     }
 
-    /// Returns all entries with their revisions.
-    pub fn entries(&self) -> impl Iterator<Item = (&VmEntry, Revision)> {
+    /// Returns all entries with their positions.
+    pub fn entries(&self) -> impl Iterator<Item = (&VmEntry, Position)> {
         self.members
             .values()
-            .map(|member| (&member.entry, member.revision))
+            .map(|member| (&member.entry, member.position))
     }
 
     /// Returns the number of VMs.
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::position::Position;
+
 use super::{Announcement, Fleet, MISSING_ENTRY_GRACE, State, VmEntry};
 
 fn announcement(instance: &str, started_ms: u64, sequence: u64, state: State) -> Announcement {
@@ -28,6 +30,10 @@
     }
 }
 
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 #[test]
 fn a_late_heartbeat_of_an_ended_instance_is_ignored() {
     let ended = announcement("i-1", 1_000, 90, State::Ready);
@@ -78,21 +84,21 @@
 fn a_missing_entry_is_retained_for_the_grace() {
     let now = Instant::now();
     let mut fleet = Fleet::new();
-    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), 7);
-    fleet.apply_removal(now, "vm-1", 8);
+    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), at(7));
+    fleet.apply_removal(now, "vm-1", at(8));
     assert_eq!(fleet.ready("inventario").len(), 1);
     assert!(
         fleet
             .expire(now + MISSING_ENTRY_GRACE / 2, |_| false)
             .is_empty()
     );
-    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), 9);
+    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), at(9));
     assert!(
         fleet
             .expire(now + MISSING_ENTRY_GRACE * 2, |_| false)
             .is_empty()
     );
-    fleet.apply_removal(now, "vm-1", 10);
+    fleet.apply_removal(now, "vm-1", at(10));
     assert!(
         fleet
             .expire(now + MISSING_ENTRY_GRACE * 2, |_| true)
@@ -109,8 +115,8 @@
 fn an_old_removal_does_not_revert_a_newer_write() {
     let now = Instant::now();
     let mut fleet = Fleet::new();
-    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), 9);
-    fleet.apply_removal(now, "vm-1", 8);
+    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), at(9));
+    fleet.apply_removal(now, "vm-1", at(8));
     assert!(
         fleet
             .expire(now + MISSING_ENTRY_GRACE * 2, |_| false)
@@ -121,7 +127,23 @@
 #[test]
 fn draining_endpoints_are_not_ready() {
     let mut fleet = Fleet::new();
-    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), 1);
+    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), at(1));
     assert!(fleet.apply_announcement("vm-1", announcement("i-1", 1, 2, State::Draining)));
     assert!(fleet.ready("inventario").is_empty());
 }
+
+/// Guards against entries that are ignored after the store has returned from an older copy, since
+/// their revisions are lower, and against VMs that left meanwhile and are kept.
+#[test]
+fn a_later_era_comes_after_all_revisions_of_an_earlier_one() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new();
+    fleet.apply_write(entry(announcement("i-1", 1, 1, State::Ready)), at(90));
+    let restored = Position::new(2, 5);
+    assert!(fleet.apply_write(entry(announcement("i-2", 2, 1, State::Ready)), restored));
+    assert!(!fleet.apply_write(entry(announcement("i-3", 3, 1, State::Ready)), at(95)));
+    fleet.apply_removal(now, "vm-1", at(95));
+    assert!(fleet.missing().is_empty());
+    fleet.apply_listing(now, &[], Position::new(2, 6));
+    assert_eq!(fleet.missing().len(), 1);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 
 pub mod pacing;
+pub mod position;
 pub mod progress;
 pub mod queue;
 pub mod rate_limit;
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -12,6 +12,7 @@
 use policy::clock::Clock;
 use policy::fleet::{Announcement, Fleet, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
+use policy::position::Position;
 use policy::routing::{Configuration, WeightedSplitter};
 use policy::selection::{Headroom, Load, ResponseSizes};
 use policy::throttle::EntryThrottle;
@@ -170,13 +171,13 @@
     }
 
     /// Merges the configuration and the VM entries that another daemon knows.
-    pub fn merge_state(&self, entries: &[(VmEntry, Revision)], revision: Revision, bytes: &Bytes) {
+    pub fn merge_state(&self, entries: &[(VmEntry, Position)], revision: Revision, bytes: &Bytes) {
         if !bytes.is_empty() {
             self.apply_configuration(bytes.clone(), revision);
         }
         let mut fleet = self.fleet.borrow_mut();
-        for (entry, revision) in entries {
-            fleet.apply_write(entry.clone(), *revision);
+        for (entry, position) in entries {
+            fleet.apply_write(entry.clone(), *position);
         }
     }
 
@@ -218,7 +219,7 @@
         let fleet = self.fleet.borrow();
         let entries = fleet
             .entries()
-            .map(|(entry, revision)| (entry.clone(), revision))
+            .map(|(entry, position)| (entry.clone(), position))
             .collect();
         let active = self.active.borrow();
         let (bytes, revision) = active.as_ref().map_or_else(
@@ -256,8 +257,8 @@
         if let Some(entry) = self.vm_entry() {
             let mut fleet = self.fleet.borrow_mut();
             let known = fleet.entries().find(|(known, _)| known.vm == self.vm);
-            let revision = known.map_or(0, |(_, revision)| revision);
-            fleet.apply_write(entry, revision);
+            let position = known.map_or_else(Position::default, |(_, position)| position);
+            fleet.apply_write(entry, position);
         }
         self.subscribers.notify(&self.endpoint_frame());
         self.entry_changed.notify_one();
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -13,8 +13,9 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::fleet::{Announcement, State, VmEntry};
-use policy::id::{Era, Revision, ServiceName, VmId};
+use policy::id::{Era, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
+use policy::position::Position;
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -73,19 +74,19 @@
 pub struct Discovery {
     /// Since when calls to the store fail.
     unreachable_since: Cell<Option<Instant>>,
-    /// Revision of this VM's entry; `None` when it must be read.
-    own_revision: Cell<Option<Revision>>,
+    /// Position of this VM's entry; `None` when it must be read.
+    own_position: Cell<Option<Position>>,
+    /// Lease of this VM's entry and the era in which the store was last known to have it.
+    lease: Cell<Option<(LeaseId, Era)>>,
     /// Whether this VM's entry in the store is up to date.
     up_to_date: Cell<bool>,
     /// Whether the fleet has been listed once.
     listed: Cell<bool>,
-    /// Whether this VM has a lease, whose renewals probe the store while it is unreachable.
-    probing: Cell<bool>,
     /// Wakes the task that keeps this VM's entry.
     write_needed: Notify,
     /// Wakes the watches when the store is reachable again.
     reachable: Notify,
-    /// Highest era of the store that was logged.
+    /// Era of the store that the watches follow.
     era: Cell<Option<Era>>,
 }
 
@@ -123,8 +124,10 @@
     fn record_success(&self, daemon: &Daemon) {
         let era = daemon.store.era();
         let before = self.era.replace(Some(era));
-        if before.is_some_and(|before| before < era) {
-            info!(event = "store_restored", era = era, before = before.unwrap_or(0), own_revision = self.own_revision.get().unwrap_or(0); "");
+        if let Some(before) = before.filter(|before| *before < era) {
+            let own = self.own_position.get().unwrap_or_default();
+            info!(event = "store_restored", era = era, before = before, own_revision = own.revision; "listing again");
+            self.reachable.notify_waiters();
         }
         if let Some(since) = self.unreachable_since.take() {
             let time = daemon.clock.now().saturating_duration_since(since);
@@ -133,35 +136,45 @@
         }
     }
 
-    /// Waits for changes. A watch that was sent while the store was unreachable may never be
-    /// answered. When another call shows that the store is reachable, it is dropped and no changes
-    /// are returned, so that the caller sends a new one.
+    /// Waits for changes after a position. A watch that was sent while the store was unreachable may
+    /// never be answered. When another call shows that the store is reachable, it is dropped and no
+    /// changes are returned, so that the caller sends a new one.
+    ///
+    /// After the store has returned from an older copy, the position belongs to a history that is
+    /// gone, even if its revision has been given out again.
     async fn watch(
         &self,
         daemon: &Daemon,
         prefix: &str,
-        after: Revision,
+        after: Position,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
-        tokio::select! {
-            changes = daemon.store.watch(prefix, after, wait) => changes,
-            () = self.reachable.notified() => Ok(Changes {
+        if daemon.store.era() != after.era {
+            return Err(StoreError::Compacted);
+        }
+        let changes = tokio::select! {
+            changes = daemon.store.watch(prefix, after.revision, wait) => changes?,
+            () = self.reachable.notified() => Changes {
                 events: Vec::new(),
-                revision: after,
+                revision: after.revision,
                 era: daemon.store.era(),
-            }),
+            },
+        };
+        if changes.era != after.era {
+            return Err(StoreError::Compacted);
         }
+        Ok(changes)
     }
 
     /// Watches a part of the store as long as the daemon runs.
     pub async fn follow(self: Rc<Self>, daemon: Rc<Daemon>, part: StorePart) {
-        let mut revision = None;
+        let mut position = None;
         // A watch follows each listing, so the first one need not be current.
         let mut freshness = Freshness::Stale;
         let mut delay = RetryDelay::default();
         let mut wait = WATCH_TIMEOUT;
         loop {
-            let result = match (part, revision) {
+            let result = match (part, position) {
                 (StorePart::Configuration, None) => {
                     self.read_configuration(&daemon, freshness).await
                 }
@@ -175,15 +188,17 @@
                 Ok(next) => {
                     self.record_success(&daemon);
                     delay.reset();
-                    if revision.is_some() {
+                    if position.is_some() {
                         wait = WATCH_TIMEOUT;
                     }
-                    revision = Some(next);
+                    position = Some(next);
                 }
                 Err(StoreError::Compacted) => {
-                    info!(event = "store_listed_again", part = part.name(), after = revision.unwrap_or(0), era = daemon.store.era(); "");
+                    let after = position.unwrap_or_default();
+                    info!(event = "store_listed_again", part = part.name(), after = after.revision, era = daemon.store.era(); "");
+                    self.record_success(&daemon);
                     freshness = Freshness::Current;
-                    revision = None;
+                    position = None;
                 }
                 Err(error) => {
                     self.record_failure(&daemon, part.name(), &error);
@@ -193,7 +208,7 @@
                     // A listing shows at once what a watch that is never answered would miss.
                     if matches!(part, StorePart::Configuration) {
                         freshness = Freshness::Current;
-                        revision = None;
+                        position = None;
                     }
                 }
             }
@@ -203,7 +218,7 @@
     /// Waits before the next attempt of a watch after a failed call: for a delay or, where renewals
     /// probe the store, until one of them succeeds.
     async fn wait_for_store(&self, daemon: &Daemon, delay: Duration) {
-        if self.probing.get() {
+        if self.lease.get().is_some() {
             let wait = MAX_PROBE_WAIT + delay;
             // A timeout is the fallback for a store that refuses renewals alone.
             drop(tokio::time::timeout(wait, self.reachable.notified()).await);
@@ -217,22 +232,22 @@
         &self,
         daemon: &Daemon,
         freshness: Freshness,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Position, StoreError> {
         let listing = daemon.store.list(CONFIGURATION_PREFIX, freshness).await?;
         for item in listing.items {
             if item.key == CONFIGURATION_KEY {
                 daemon.apply_configuration(Bytes::from(item.value), item.revision);
             }
         }
-        Ok(listing.revision)
+        Ok(Position::new(listing.era, listing.revision))
     }
 
     async fn watch_configuration(
         &self,
         daemon: &Daemon,
-        after: Revision,
+        after: Position,
         wait: Duration,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Position, StoreError> {
         let changes = self
             .watch(daemon, CONFIGURATION_PREFIX, after, wait)
             .await?;
@@ -244,50 +259,52 @@
                 Event::Written(_) | Event::Removed { .. } => {}
             }
         }
-        Ok(changes.revision.max(after))
+        Ok(after.max(Position::new(changes.era, changes.revision)))
     }
 
     async fn read_fleet(
         &self,
         daemon: &Rc<Daemon>,
         freshness: Freshness,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Position, StoreError> {
         let listing = daemon.store.list(VM_PREFIX, freshness).await?;
         let mut vms = Vec::with_capacity(listing.items.len());
-        let mut own = 0;
+        let mut own_lease = None;
         for item in listing.items {
-            if let Some(entry) = self.apply_entry(daemon, &item.key, &item.value, item.revision) {
-                if entry == daemon.vm {
-                    own = item.revision;
+            let position = Position::new(listing.era, item.revision);
+            if let Some(vm) = self.apply_entry(daemon, &item.key, &item.value, position) {
+                if vm == daemon.vm {
+                    own_lease = Some(item.lease);
                 }
-                vms.push(entry);
+                vms.push(vm);
             }
         }
-        daemon
-            .fleet
-            .borrow_mut()
-            .apply_listing(daemon.clock.now(), &vms, listing.revision);
-        if own == 0 {
-            self.rewrite_own_entry(Some(0));
+        let position = Position::new(listing.era, listing.revision);
+        let now = daemon.clock.now();
+        daemon.fleet.borrow_mut().apply_listing(now, &vms, position);
+        self.check_lease(listing.era, own_lease);
+        if own_lease.is_none() {
+            self.rewrite_own_entry(Some(Position::new(listing.era, 0)));
         }
         self.listed.set(true);
         self.write_needed.notify_one();
         // Where all VMs start together, their entries follow within a few seconds.
         tokio::time::sleep(pacing::MAX_WATCH_PAUSE).await;
-        Ok(listing.revision)
+        Ok(Position::new(listing.era, listing.revision))
     }
 
     async fn watch_fleet(
         &self,
         daemon: &Rc<Daemon>,
-        after: Revision,
+        after: Position,
         wait: Duration,
-    ) -> Result<Revision, StoreError> {
+    ) -> Result<Position, StoreError> {
         let changes = self.watch(daemon, VM_PREFIX, after, wait).await?;
         for event in changes.events {
             match event {
                 Event::Written(item) => {
-                    self.apply_entry(daemon, &item.key, &item.value, item.revision);
+                    let position = Position::new(changes.era, item.revision);
+                    self.apply_entry(daemon, &item.key, &item.value, position);
                 }
                 Event::Removed { key, revision } => {
                     let Some(vm) = key.strip_prefix(VM_PREFIX) else {
@@ -295,16 +312,17 @@
                     };
                     if *vm == *daemon.vm {
                         info!(event = "own_entry_removed", revision = revision; "writing it again");
-                        self.rewrite_own_entry(Some(0));
+                        self.rewrite_own_entry(Some(Position::new(changes.era, 0)));
                     } else {
                         let now = daemon.clock.now();
-                        daemon.fleet.borrow_mut().apply_removal(now, vm, revision);
+                        let position = Position::new(changes.era, revision);
+                        daemon.fleet.borrow_mut().apply_removal(now, vm, position);
                     }
                 }
             }
         }
         pause_watch(daemon).await;
-        Ok(changes.revision.max(after))
+        Ok(after.max(Position::new(changes.era, changes.revision)))
     }
 
     /// Applies an entry that was read; returns the name of its VM if the entry is valid.
@@ -313,7 +331,7 @@
         daemon: &Rc<Daemon>,
         key: &str,
         value: &[u8],
-        revision: Revision,
+        position: Position,
     ) -> Option<VmId> {
         let vm = key.strip_prefix(VM_PREFIX)?;
         let entry: VmEntry = match serde_json::from_slice(value) {
@@ -332,12 +350,12 @@
             return None;
         }
         if *vm == *daemon.vm {
-            self.apply_own_entry(daemon, &entry, revision);
+            self.apply_own_entry(daemon, &entry, position);
         } else {
             daemon
                 .fleet
                 .borrow_mut()
-                .apply_write(entry.clone(), revision);
+                .apply_write(entry.clone(), position);
             // A daemon that writes its entry is running, even if it announced that it stops.
             daemon.peers.get(&entry.vm).stats.borrow_mut().readmit();
         }
@@ -345,21 +363,21 @@
     }
 
     /// Applies the entry of this VM: at the start that of an earlier process, later its own.
-    fn apply_own_entry(&self, daemon: &Rc<Daemon>, entry: &VmEntry, revision: Revision) {
+    fn apply_own_entry(&self, daemon: &Rc<Daemon>, entry: &VmEntry, position: Position) {
         if self
-            .own_revision
+            .own_position
             .get()
-            .is_some_and(|known| revision < known)
+            .is_some_and(|known| position < known)
         {
             return;
         }
-        self.own_revision.set(Some(revision));
+        self.own_position.set(Some(position));
         let usable = entry.endpoint.service == daemon.service()
             && entry.endpoint.address == daemon.settings.borrow().endpoint.address
             && entry.endpoint.state != State::Gone;
         if daemon.gate.announcement().is_none() && usable {
             let endpoint = newest_announcement(daemon, entry);
-            info!(event = "entry_taken_over", instance = &*endpoint.instance, state:? = endpoint.state, revision = revision; "");
+            info!(event = "entry_taken_over", instance = &*endpoint.instance, state:? = endpoint.state, revision = position.revision; "");
             daemon.gate.apply_announcement(daemon, endpoint);
             self.up_to_date.set(false);
             daemon.publish_endpoint();
@@ -374,19 +392,31 @@
     }
 
     /// Marks this VM's entry as outdated and wakes the task that writes it.
-    fn rewrite_own_entry(&self, revision: Option<Revision>) {
-        self.own_revision.set(revision);
+    fn rewrite_own_entry(&self, position: Option<Position>) {
+        self.own_position.set(position);
         self.up_to_date.set(false);
         self.write_needed.notify_one();
     }
 
+    /// Gives up a lease that the store opened in an earlier era, unless this VM's entry is attached
+    /// to it: the copy from which the store returned may lack the lease and give out its id again.
+    fn check_lease(&self, era: Era, own_lease: Option<LeaseId>) {
+        let Some((lease, opened)) = self.lease.get() else {
+            return;
+        };
+        if own_lease == Some(lease) {
+            self.lease.set(Some((lease, era)));
+        } else if opened < era {
+            self.lease.set(None);
+            self.rewrite_own_entry(None);
+        }
+    }
+
     /// Keeps the entry of this VM and its lease as long as the daemon runs.
     pub async fn keep_entry(self: Rc<Self>, daemon: Rc<Daemon>) {
-        let mut lease: Option<LeaseId> = None;
         let mut renewed = daemon.clock.now();
         let mut delay = RetryDelay::default();
         loop {
-            self.probing.set(lease.is_some());
             let interval = if self.unreachable_since.get().is_some() {
                 PROBE_INTERVAL
             } else {
@@ -401,17 +431,17 @@
                 continue;
             }
             let must_renew = daemon.clock.now().saturating_duration_since(renewed) >= interval;
-            if let Some(id) = lease.filter(|_| must_renew) {
+            if let Some((id, _)) = self.lease.get().filter(|_| must_renew) {
                 match self.renew(&daemon, id).await {
                     Some(true) => renewed = daemon.clock.now(),
-                    Some(false) => lease = None,
+                    Some(false) => self.lease.set(None),
                     None => {}
                 }
             }
-            if self.up_to_date.get() && lease.is_some() {
+            if self.up_to_date.get() && self.lease.get().is_some() {
                 continue;
             }
-            match self.write_entry(&daemon, &mut lease, &mut renewed).await {
+            match self.write_entry(&daemon, &mut renewed).await {
                 Ok(()) => {
                     self.record_success(&daemon);
                     delay.reset();
@@ -449,27 +479,27 @@
     async fn write_entry(
         &self,
         daemon: &Rc<Daemon>,
-        lease: &mut Option<LeaseId>,
         renewed: &mut Instant,
     ) -> Result<(), StoreError> {
         let key = format!("{VM_PREFIX}{}", daemon.vm);
         let Some(entry) = daemon.vm_entry() else {
             return Ok(());
         };
-        let id = if let Some(id) = *lease {
-            id
+        let lease = if let Some((lease, _)) = self.lease.get() {
+            lease
         } else {
             let shortest = Duration::from_millis(daemon.settings.borrow().store.shortest_lease_ms);
-            let (id, _) = daemon
+            let (lease, _) = daemon
                 .store
                 .open_lease(LEASE_LIFETIME.max(shortest))
                 .await?;
             *renewed = daemon.clock.now();
-            *lease = Some(id);
-            id
+            self.lease.set(Some((lease, daemon.store.era())));
+            lease
         };
-        let expected = if let Some(revision) = self.own_revision.get() {
-            revision
+        let own = self.own_position.get();
+        let expected = if let Some(own) = own.filter(|own| own.era == daemon.store.era()) {
+            own.revision
         } else {
             let item = daemon.store.get(&key).await?;
             item.map_or(0, |item| item.revision)
@@ -478,15 +508,16 @@
         let write = Write {
             key: &key,
             value: &value,
-            lease: id,
+            lease,
             expected,
         };
-        // The revision is unknown until the store responds: the write may succeed without a
+        // The position is unknown until the store responds: the write may succeed without a
         // response.
-        self.own_revision.set(None);
+        self.own_position.set(None);
         match daemon.store.write(&write).await? {
             WriteOutcome::Done(revision) => {
-                self.own_revision.set(Some(revision));
+                let position = Position::new(daemon.store.era(), revision);
+                self.own_position.set(Some(position));
                 let same = daemon
                     .vm_entry()
                     .is_some_and(|own| same_state(&own, &entry));
@@ -497,11 +528,12 @@
                 info!(event = "entry_written", revision = revision, state:? = entry.endpoint.state; "");
             }
             WriteOutcome::Conflict(revision) => {
-                self.own_revision.set(Some(revision));
+                let position = Position::new(daemon.store.era(), revision);
+                self.own_position.set(Some(position));
                 self.write_needed.notify_one();
             }
             WriteOutcome::NoLease => {
-                *lease = None;
+                self.lease.set(None);
                 self.write_needed.notify_one();
             }
         }
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -8,6 +8,7 @@
 use adapter::store::{Store, StoreError};
 use bytes::Bytes;
 use policy::fleet::{State, VmEntry};
+use policy::position::Position;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -28,7 +29,7 @@
     };
     let value = serde_json::to_vec(&entry).unwrap();
     let key = format!("{VM_PREFIX}vm-1");
-    Discovery::default().apply_entry(daemon, &key, &value, 5);
+    Discovery::default().apply_entry(daemon, &key, &value, Position::new(0, 5));
 }
 
 #[test]
@@ -58,7 +59,7 @@
         data_centre: "madrid".into(),
         endpoint: announcement("i-1", 1, 1, State::Gone),
     };
-    daemon.merge_state(&[(entry, 3)], 0, &Bytes::new());
+    daemon.merge_state(&[(entry, Position::new(0, 3))], 0, &Bytes::new());
     apply(&daemon, State::Ready);
     assert_eq!(daemon.gate.announcement().unwrap().state, State::Gone);
     assert!(daemon.fleet.borrow().ready("despacho").is_empty());
@@ -77,7 +78,7 @@
 fn an_invalid_entry_is_ignored() {
     let (daemon, _) = daemon();
     let key = format!("{VM_PREFIX}vm-2");
-    let applied = Discovery::default().apply_entry(&daemon, &key, b"\x01", 5);
+    let applied = Discovery::default().apply_entry(&daemon, &key, b"\x01", Position::new(0, 5));
     assert_eq!(applied, None);
     assert!(daemon.fleet.borrow().is_empty());
 }
@@ -96,7 +97,9 @@
             let watcher = Rc::clone(&daemon);
             let start = Instant::now();
             let watch = tokio::task::spawn_local(async move {
-                owner.watch(&watcher, "p/", 3, WATCH_TIMEOUT).await
+                owner
+                    .watch(&watcher, "p/", Position::new(0, 3), WATCH_TIMEOUT)
+                    .await
             });
             // The store accepts the connection and never responds.
             let _silent = listener.accept().await.unwrap();
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -13,6 +13,7 @@
 use policy::demand::ElasticRoom;
 use policy::fleet::{Announcement, VmEntry};
 use policy::id::ServiceName;
+use policy::position::Position;
 use policy::selection;
 use serde::{Deserialize, Serialize};
 
@@ -244,8 +245,8 @@
     AskState,
     /// All known VM entries; the body is the configuration in force as the operators wrote it.
     State {
-        /// Entries with their revisions.
-        entries: Vec<(VmEntry, u64)>,
+        /// Entries with their positions in the store.
+        entries: Vec<(VmEntry, Position)>,
         /// Revision of the configuration.
         revision: u64,
     },
@@ -297,7 +298,7 @@
     Ping,
     Pong,
     AskState,
-    State(Vec<(VmEntry, u64)>, u64),
+    State(Vec<(VmEntry, Position)>, u64),
 }
 
 /// Id of a call. Most ids are groups of hexadecimal digits, which are sent in half the bytes.
--- a/crates/sidecar/src/gate/statement_tests.rs
+++ b/crates/sidecar/src/gate/statement_tests.rs
@@ -12,6 +12,7 @@
 use adapter::standin;
 use bytes::{Bytes, BytesMut};
 use policy::fleet::{State, VmEntry};
+use policy::position::Position;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -265,13 +266,19 @@
         let unused = "127.0.0.1:9".parse().unwrap();
         let daemon = daemon_of("vm-2", unused, Arc::new(RuntimeClock));
         daemon.apply_configuration(configuration(1), 1);
-        daemon.fleet.borrow_mut().apply_write(entry(address, 1), 5);
+        daemon
+            .fleet
+            .borrow_mut()
+            .apply_write(entry(address, 1), Position::new(1, 5));
         says_leaving(&endpoint);
         let response = request(&daemon, "1a").await;
         assert!(matches!(response, Response::Endpoint { status: 200, .. }));
         assert!(daemon.fleet.borrow().ready("despacho").is_empty());
         // The restarted daemon of the endpoint writes what a heartbeat says.
-        daemon.fleet.borrow_mut().apply_write(entry(address, 9), 6);
+        daemon
+            .fleet
+            .borrow_mut()
+            .apply_write(entry(address, 9), Position::new(1, 6));
         assert!(daemon.fleet.borrow().ready("despacho").is_empty());
         let response = request(&daemon, "2b").await;
         assert!(matches!(response, Response::Refused { .. }));
