Keep this VM in the table of VMs when its entry is missing in a listing

A daemon whose entry was lost with the store's copy took its own VM for gone after 2.5 s, since it has no connection to itself, and sent no calls to the endpoint beside it until that changed its state. The own VM now counts as listed; its entry is written again anyway.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -268,7 +268,7 @@
         freshness: Freshness,
     ) -> Result<Position, StoreError> {
         let listing = daemon.store.list(VM_PREFIX, freshness).await?;
-        let mut vms = Vec::with_capacity(listing.items.len());
+        let mut vms = Vec::with_capacity(listing.items.len() + 1);
         let mut own_lease = None;
         for item in listing.items {
             let position = Position::new(listing.era, item.revision);
@@ -279,6 +279,8 @@
                 vms.push(vm);
             }
         }
+        // This VM is not gone if its entry is missing: the entry is written again.
+        vms.push(VmId::clone(&daemon.vm));
         let position = Position::new(listing.era, listing.revision);
         let now = daemon.clock.now();
         daemon.fleet.borrow_mut().apply_listing(now, &vms, position);
