Remember endpoints that left after their VMs have been removed

The table of VMs forgot an endpoint that had left together with its VM. Its old entry, ready, comes back with an older copy of the store until its lease ends, and made the endpoint ready again (in the test, which failed before). The table keeps the last announcement of up to 1,024 endpoints that left; a later start of an endpoint on the VM supersedes it.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -25,6 +25,9 @@
 /// two seconds after the store has come back.
 pub const MISSING_ENTRY_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Endpoints that left and are remembered after their VMs have been removed.
+const MAX_DEPARTED: usize = 1_024;
+
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -117,6 +120,9 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: BTreeMap<VmId, Member>,
+    /// Last announcements of endpoints that left, whose VMs have been removed. Their old entries
+    /// come back with an older copy of the store.
+    departed: BTreeMap<VmId, Announcement>,
     services: HashMap<ServiceName, Vec<VmId>>,
 }
 
@@ -128,7 +134,7 @@
     }
 
     /// Applies an entry that was written to the store; returns whether the table changed.
-    pub fn apply_write(&mut self, entry: VmEntry, position: Position) -> bool {
+    pub fn apply_write(&mut self, mut entry: VmEntry, position: Position) -> bool {
         let vm = VmId::clone(&entry.vm);
         if let Some(member) = self.members.get_mut(&vm) {
             if position < member.position {
@@ -142,6 +148,11 @@
             }
             member.entry = entry;
         } else {
+            if let Some(departed) = self.departed.remove(&vm)
+                && !entry.endpoint.supersedes(&departed)
+            {
+                entry.endpoint = departed;
+            }
             let member = Member {
                 entry,
                 position,
@@ -202,7 +213,14 @@
             .map(|(vm, _)| VmId::clone(vm))
             .collect();
         for vm in &expired {
-            self.members.remove(vm);
+            let endpoint = self.members.remove(vm).map(|member| member.entry.endpoint);
+            let departed = endpoint.filter(|endpoint| endpoint.state != State::Ready);
+            if let Some(endpoint) = departed {
+                self.departed.insert(VmId::clone(vm), endpoint);
+            }
+        }
+        while self.departed.len() > MAX_DEPARTED {
+            self.departed.pop_first();
         }
         if !expired.is_empty() {
             self.rebuild_index();
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -147,3 +147,24 @@
     fleet.apply_listing(now, &[], Position::new(2, 6));
     assert_eq!(fleet.missing().len(), 1);
 }
+
+/// Guards against calls to an endpoint that has left: its old entry is read again after the store
+/// has returned from a copy, when its VM has been removed from the table.
+#[test]
+fn an_endpoint_that_left_is_not_ready_when_its_old_entry_returns() {
+    let now = Instant::now();
+    let old = entry(announcement("i-1", 1, 1, State::Ready));
+    for state in [State::Leaving, State::Gone] {
+        let mut fleet = Fleet::new();
+        fleet.apply_write(old.clone(), at(5));
+        fleet.apply_announcement("vm-1", announcement("i-1", 1, 2, state));
+        fleet.apply_removal(now, "vm-1", at(6));
+        let later = now + MISSING_ENTRY_GRACE;
+        assert_eq!(fleet.expire(later, |_| false).len(), 1);
+        fleet.apply_write(old.clone(), Position::new(2, 5));
+        assert!(fleet.ready("inventario").is_empty());
+        let restarted = entry(announcement("i-1", 2, 1, State::Ready));
+        fleet.apply_write(restarted, Position::new(2, 6));
+        assert_eq!(fleet.ready("inventario").len(), 1);
+    }
+}
