Let the soak's store return from copies and its endpoints state limits

Seeds from 1000 on have three more actions: the store returns from a copy, an endpoint states a rate limit, an endpoint states only in its responses that it leaves. The new guarantee Limited counts the calls to a limited endpoint; Drained now also counts from the first response that states the departure. Plans of earlier seeds stay as they were.

--- a/crates/sapphiredoor/tests/soak.rs
+++ b/crates/sapphiredoor/tests/soak.rs
@@ -13,6 +13,7 @@
 #[rstest]
 #[case::planned_maintenance(0)]
 #[case::all_fault_classes(5)]
+#[case::store_restored_and_endpoints_limited(1_003)]
 fn guarantees_hold_under_faults(#[case] seed: u64) {
     let process = std::process::id();
     let directory = std::env::temp_dir().join(format!("soak-{process}-{seed}"));
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use adapter::response::Statement;
 use adapter::standin::{self, ReceivedRequest};
 use bytes::BytesMut;
 use policy::fleet::{Announcement, State};
@@ -15,7 +16,7 @@
 
 use crate::client::{self, Entry};
 use crate::net::{self, TaskGroup};
-use crate::oracle::{Arrival, Guarantee, Oracle, VmIndex};
+use crate::oracle::{Arrival, Guarantee, Oracle, RateLimit, VmIndex};
 
 /// Requests that run concurrently.
 const SLOT_COUNT: usize = 4;
@@ -106,6 +107,8 @@
     started_ms: u64,
     sequence: Cell<u64>,
     state: Cell<State>,
+    /// What its responses state about it.
+    pub statement: Cell<Statement>,
     /// Injected fault.
     pub fault: Cell<Option<Fault>>,
     slots: Semaphore,
@@ -133,6 +136,7 @@
             started_ms,
             sequence: Cell::new(0),
             state: Cell::new(State::Ready),
+            statement: Cell::default(),
             fault: Cell::new(None),
             slots: Semaphore::new(SLOT_COUNT),
             queued: Cell::new(0),
@@ -173,6 +177,52 @@
         self.crash().await;
     }
 
+    /// Shuts down like [`Endpoint::leave`], but only its responses state it: its heartbeats go on.
+    pub async fn depart(&self, drain: Duration) {
+        let statement = self.statement.get();
+        self.statement.set(Statement {
+            leaving: true,
+            ..statement
+        });
+        tokio::time::sleep(drain * 2).await;
+        self.send_announcement(standin::encode_departure(&self.instance, self.started_ms))
+            .await;
+        self.crash().await;
+    }
+
+    /// Inserts the statement into a response.
+    fn insert_statement(&self, response: &mut Vec<u8>) {
+        let statement = self.statement.get();
+        standin::insert_statement(&statement, response);
+        if statement.leaving {
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.record_leaving(&self.instance, Instant::now());
+        }
+    }
+
+    /// States a rate limit for some time.
+    pub async fn limit_rate(&self, limit: f64, time: Duration) {
+        let from = Instant::now();
+        let statement = self.statement.get();
+        self.statement.set(Statement {
+            rate_limit: Some(limit),
+            ..statement
+        });
+        tokio::time::sleep(time).await;
+        let statement = self.statement.get();
+        self.statement.set(Statement {
+            rate_limit: None,
+            ..statement
+        });
+        let limited = RateLimit {
+            instance: self.instance.clone(),
+            limit,
+            from,
+            until: Instant::now(),
+        };
+        self.oracle.borrow_mut().record_rate_limit(limited);
+    }
+
     async fn announce(&self) {
         self.sequence.set(self.sequence.get() + 1);
         let state = self.state.get();
@@ -217,7 +267,10 @@
                 if status != 421 {
                     self.record_arrival(&received.id, false);
                 }
-                let response = standin::encode_rejected(status, &received.id);
+                let mut response = standin::encode_rejected(status, &received.id);
+                if status != 421 {
+                    self.insert_statement(&mut response);
+                }
                 if stream.write_all(&response).await.is_err() {
                     return;
                 }
@@ -294,6 +347,9 @@
         }
         let body = client::response_body(&received.id, &message.head, &message.body);
         let mut response = standin::encode_signed(status, &received.id, body.len());
+        if matches!(self.fault.get(), None | Some(Fault::Slow)) {
+            self.insert_statement(&mut response);
+        }
         response.extend_from_slice(&body);
         match self.fault.get() {
             Some(Fault::Closing) => return None,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -28,6 +28,16 @@
 /// Fraction of the goodput before the faults that must be reached again after them.
 const MIN_RECOVERED_FRACTION: f64 = 0.95;
 
+/// Time after the first statement of a rate limit from which it binds.
+const RATE_LIMIT_GRACE: Duration = Duration::from_secs(3);
+
+/// Window over which the calls to an endpoint with a rate limit are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+
+/// Factor of the limit that is allowed in a window, and the calls beyond.
+const RATE_FACTOR: f64 = 1.5;
+const RATE_SLACK: f64 = 5.0;
+
 /// Index of a VM in its run.
 pub type VmIndex = usize;
 
@@ -54,6 +64,8 @@
     Budget,
     /// A leaving endpoint gets no calls after the drain limit.
     Drained,
+    /// An endpoint that states a rate limit gets little more than that.
+    Limited,
     /// A daemon exits within its grace time after SIGTERM, never by itself, and stays within its
     /// memory limit.
     Ended,
@@ -158,6 +170,19 @@
     pub window: Duration,
 }
 
+/// Rate limit that an endpoint stated for some time.
+#[derive(Clone, Debug)]
+pub struct RateLimit {
+    /// Instance of the endpoint.
+    pub instance: String,
+    /// Calls per second.
+    pub limit: f64,
+    /// Start.
+    pub from: Instant,
+    /// End.
+    pub until: Instant,
+}
+
 /// Record of a run, and the checks on it.
 #[derive(Debug, Default)]
 pub struct Oracle {
@@ -167,6 +192,7 @@
     stalls: Vec<Stall>,
     /// When the daemon acknowledged that an instance leaves.
     leaving: HashMap<String, Instant>,
+    rate_limits: Vec<RateLimit>,
     violations: Vec<Violation>,
     /// Violations of time bounds, with the start and the end of the period that was too long.
     timing_violations: Vec<(Violation, Instant, Instant)>,
@@ -202,6 +228,11 @@
         self.leaving.entry(instance.to_owned()).or_insert(at);
     }
 
+    /// Records that an endpoint stated a rate limit.
+    pub fn record_rate_limit(&mut self, limit: RateLimit) {
+        self.rate_limits.push(limit);
+    }
+
     /// Records a violation.
     pub fn record_violation(&mut self, guarantee: Guarantee, detail: String) {
         self.violations.push(Violation { guarantee, detail });
@@ -292,9 +323,36 @@
                 );
             }
         }
+        for limit in &self.rate_limits {
+            if let Some(detail) = self.excess_rate(limit) {
+                report(Guarantee::Limited, detail);
+            }
+        }
         violations
     }
 
+    /// Describes a window in which an endpoint got too many calls for the limit that it stated.
+    fn excess_rate(&self, limit: &RateLimit) -> Option<String> {
+        let from = limit.from + RATE_LIMIT_GRACE;
+        let arrivals = self.arrivals.values().flatten();
+        let mut times: Vec<Instant> = arrivals
+            .filter(|arrival| arrival.instance == limit.instance)
+            .map(|arrival| arrival.at)
+            .filter(|at| (from..limit.until).contains(at))
+            .collect();
+        times.sort();
+        let allowed = limit.limit * RATE_WINDOW.as_secs_f64() * RATE_FACTOR + RATE_SLACK;
+        for (index, start) in times.iter().enumerate() {
+            let end = times.partition_point(|at| *at < *start + RATE_WINDOW);
+            let count = end - index;
+            if count as f64 > allowed && !self.has_stalled(*start, *start + RATE_WINDOW) {
+                let instance = &limit.instance;
+                return Some(format!("{count} calls to {instance}, {allowed} allowed"));
+            }
+        }
+        None
+    }
+
     /// Checks the runs and the end of one call.
     fn check_call(&self, id: &str, call: &Call, report: &mut impl FnMut(Guarantee, String)) {
         let runs = self.runs(id).count();
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -4,7 +4,9 @@
 
 use adapter::standin::ReceivedResponse;
 
-use super::{Arrival, Call, CallEnd, Disturbance, DisturbanceKind, Guarantee, Oracle, RetryBudget};
+use super::{
+    Arrival, Call, CallEnd, Disturbance, DisturbanceKind, Guarantee, Oracle, RateLimit, RetryBudget,
+};
 use crate::stall::Stall;
 
 const RETRY_BUDGET: RetryBudget = RetryBudget {
@@ -280,3 +282,27 @@
         assert_eq!(violated(&oracle), expected);
     }
 }
+
+/// Guards against an excess over a stated rate limit that goes unnoticed, and against counting the
+/// calls before the limit binds.
+#[test]
+fn calls_beyond_a_stated_rate_limit_are_violations() {
+    let start = Instant::now();
+    let checked = |first: Duration, interval: Duration| {
+        let mut oracle = Oracle::default();
+        for index in 0..40_u32 {
+            let at = start + first + interval * index;
+            oracle.record_arrival(&format!("c{index}"), arrival(at, true));
+        }
+        oracle.record_rate_limit(RateLimit {
+            instance: "i-1".to_owned(),
+            limit: 5.0,
+            from: start,
+            until: start + ms(9_000),
+        });
+        violated(&oracle)
+    };
+    assert_eq!(checked(ms(3_000), ms(100)), [Guarantee::Limited]);
+    assert_eq!(checked(ms(3_000), ms(150)), []);
+    assert_eq!(checked(Duration::ZERO, ms(50)), []);
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,13 @@
 /// Shortest and longest duration of a fault in milliseconds.
 const FAULT_DURATION_MS: (u64, u64) = (200, 4_000);
 
+/// First seed whose plans have the actions of [`Generator::statement_action`]. Plans of earlier seeds
+/// stay as they were when they found failures.
+const FIRST_STATEMENT_SEED: u64 = 1_000;
+
+/// Mean time between two of these actions.
+const MEAN_STATEMENT_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Network link of a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
@@ -62,6 +69,13 @@
     Crash(VmIndex),
     /// Drains an endpoint and starts another instance.
     Replace(VmIndex),
+    /// Takes the store away for a time and lets it return from a copy of this age.
+    Restore(Duration, Duration),
+    /// Makes an endpoint state a rate limit in calls per second.
+    Limit(VmIndex, u32, Duration),
+    /// Drains an endpoint that states only in its responses that it leaves, and starts another
+    /// instance.
+    Depart(VmIndex),
     /// Makes an endpoint misbehave.
     Endpoint(VmIndex, endpoint::Fault, Duration),
 }
@@ -194,6 +208,41 @@
         }
     }
 
+    /// Returns actions at random times with this mean interval.
+    fn plan(
+        &mut self,
+        interval: Duration,
+        time: Duration,
+        mut next_action: impl FnMut(&mut Self) -> Action,
+    ) -> Vec<(Duration, Action)> {
+        let mut plan = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            let random: f64 = self.rng.random_range(1e-6..1.0);
+            at += interval.mul_f64(-random.ln());
+            if at >= time {
+                return plan;
+            }
+            plan.push((at, next_action(self)));
+        }
+    }
+
+    /// Returns an action on what the store and the endpoints state about themselves.
+    fn statement_action(&mut self) -> Action {
+        match self.rng.random_range(0..3) {
+            0 => {
+                let age = Duration::from_millis(self.rng.random_range(500..8_000));
+                Action::Restore(age, self.random_delay())
+            }
+            1 => {
+                // The platform's bound holds from three seconds after the first statement.
+                let time = Duration::from_millis(self.rng.random_range(5_000..10_000));
+                Action::Limit(self.random_vm(), self.rng.random_range(1..12), time)
+            }
+            _ => Action::Depart(self.random_vm()),
+        }
+    }
+
     fn planned_action(&mut self) -> Action {
         match self.rng.random_range(0..6) {
             0 | 1 => Action::Stop(self.random_vm()),
@@ -214,14 +263,11 @@
         vms,
     };
     let class = FaultClass::for_seed(seed);
-    let mut plan = Vec::new();
-    let mut at = Duration::ZERO;
-    loop {
-        let random: f64 = generator.rng.random_range(1e-6..1.0);
-        at += MEAN_FAULT_INTERVAL.mul_f64(-random.ln());
-        if at >= time {
-            return plan;
-        }
-        plan.push((at, generator.random_action(class)));
+    let random_action = |generator: &mut Generator| generator.random_action(class);
+    let mut plan = generator.plan(MEAN_FAULT_INTERVAL, time, random_action);
+    if seed >= FIRST_STATEMENT_SEED && class != FaultClass::Planned {
+        plan.extend(generator.plan(MEAN_STATEMENT_INTERVAL, time, Generator::statement_action));
+        plan.sort_by_key(|(at, _)| *at);
     }
+    plan
 }
--- a/crates/soak/src/plan/tests.rs
+++ b/crates/soak/src/plan/tests.rs
@@ -32,3 +32,22 @@
     };
     assert!(plan.iter().all(|(_, action)| planned(action)));
 }
+
+/// Guards against plans of earlier seeds that change and so no longer show the failures that they
+/// found.
+#[test]
+fn only_later_seeds_have_statements() {
+    let stated = |seed| {
+        let plan = generate(seed, 6, TIME);
+        let stated = |action: &Action| {
+            matches!(
+                action,
+                Action::Restore(..) | Action::Limit(..) | Action::Depart(_)
+            )
+        };
+        plan.iter().filter(|(_, action)| stated(action)).count()
+    };
+    assert_eq!((0..12).map(stated).sum::<usize>(), 0);
+    assert_eq!(stated(211), 0);
+    assert!((1_003..1_008).all(|seed| stated(seed) > 3));
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,7 +17,7 @@
 use crate::oracle::{DisturbanceKind, Guarantee, Violation};
 use crate::plan::{self, Action, FaultClass, Link};
 use crate::stall::StallDetector;
-use crate::store::Store;
+use crate::store::{self, Store};
 use crate::vm::{DRAIN_LIMIT, RETRY_BUDGET, RunContext, SHUTDOWN_GRACE, Vm};
 
 /// Batches of requests per second that the clients of one VM send.
@@ -390,7 +390,11 @@
                 self.set_rate(1.0);
                 Ok(())
             }
-            Action::Store(..) | Action::PauseLeases(_) | Action::Revoke | Action::Compact => {
+            Action::Store(..)
+            | Action::Restore(..)
+            | Action::PauseLeases(_)
+            | Action::Revoke
+            | Action::Compact => {
                 self.inject_store_fault(action).await;
                 Ok(())
             }
@@ -407,9 +411,11 @@
                 proxy.set_fault(None);
                 Ok(())
             }
-            Action::Crash(_) | Action::Replace(_) | Action::Endpoint(..) => {
-                self.inject_endpoint_fault(action).await
-            }
+            Action::Crash(_)
+            | Action::Replace(_)
+            | Action::Depart(_)
+            | Action::Limit(..)
+            | Action::Endpoint(..) => self.inject_endpoint_fault(action).await,
         }
     }
 
@@ -431,6 +437,17 @@
                     store.set_fault(vm.index, None);
                 }
             }
+            Action::Restore(age, time) => {
+                for vm in &self.vms {
+                    vm.record_disturbance(DisturbanceKind::Fault, time);
+                    store.set_fault(vm.index, Some(store::Fault::Down));
+                }
+                tokio::time::sleep(time).await;
+                store.restore_older(age);
+                for vm in &self.vms {
+                    store.set_fault(vm.index, None);
+                }
+            }
             Action::PauseLeases(time) => {
                 store.pause_leases(true);
                 tokio::time::sleep(time).await;
@@ -460,16 +477,27 @@
                 tokio::time::sleep(RESTART_DELAY).await;
                 vm.start_endpoint()
             }
-            Action::Replace(vm) => {
+            Action::Replace(vm) | Action::Depart(vm) => {
                 let vm = &self.vms[vm];
                 vm.record_disturbance(DisturbanceKind::Planned, DRAIN_LIMIT + RESTART_DELAY);
                 let endpoint = vm.endpoint.borrow_mut().take();
                 let Some(endpoint) = endpoint else {
                     return Ok(());
                 };
-                endpoint.leave(DRAIN_LIMIT).await;
+                if matches!(action, Action::Replace(_)) {
+                    endpoint.leave(DRAIN_LIMIT).await;
+                } else {
+                    endpoint.depart(DRAIN_LIMIT).await;
+                }
                 vm.start_endpoint()
             }
+            Action::Limit(vm, limit, time) => {
+                let endpoint = self.vms[vm].endpoint.borrow().clone();
+                if let Some(endpoint) = endpoint {
+                    endpoint.limit_rate(f64::from(limit), time).await;
+                }
+                Ok(())
+            }
             Action::Endpoint(vm, fault, time) => {
                 let vm = &self.vms[vm];
                 vm.record_disturbance(DisturbanceKind::Endpoint, time);
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,12 @@
 /// Interval between checks for expired leases.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between two copies of the data.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Copies that are kept.
+const MAX_COPIES: usize = 20;
+
 /// Fault of the store.
 ///
 /// The names of the variants are printed.
@@ -199,6 +205,8 @@
     paused: Cell<bool>,
     /// Number of returns from an older copy.
     era: Cell<Era>,
+    /// Copies of the last seconds, oldest first.
+    copies: RefCell<VecDeque<(Instant, StoreData)>>,
 }
 
 impl Store {
@@ -272,10 +280,34 @@
         self.changed.notify_waiters();
     }
 
-    /// Removes the keys of expired leases until the run ends.
+    /// Returns from a copy of at least this age, or the oldest one.
+    pub fn restore_older(&self, age: Duration) {
+        let copies = self.copies.borrow();
+        let is_older = |copy: &&(Instant, StoreData)| copy.0.elapsed() >= age;
+        let older = copies.iter().rev().find(is_older);
+        let copy = older.or(copies.front()).map(|(_, copy)| copy.clone());
+        drop(copies);
+        if let Some(copy) = copy {
+            self.restore(copy);
+        }
+    }
+
+    fn keep_copy(&self) {
+        let mut copies = self.copies.borrow_mut();
+        let newest = copies.back().map(|(at, _)| *at);
+        if newest.is_none_or(|at| at + COPY_INTERVAL <= now()) {
+            copies.push_back((now(), self.copy()));
+        }
+        if copies.len() > MAX_COPIES {
+            copies.pop_front();
+        }
+    }
+
+    /// Keeps copies and removes the keys of expired leases until the run ends.
     pub async fn run_expiry(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
+            self.keep_copy();
             if !self.paused.get() && self.data.borrow_mut().expire_leases(now()) {
                 self.changed.notify_waiters();
             }
--- a/crates/soak/src/store/tests.rs
+++ b/crates/soak/src/store/tests.rs
@@ -2,7 +2,9 @@
 
 use adapter::standin::Transaction;
 
-use super::StoreData;
+use adapter::CONFIGURATION_KEY;
+
+use super::{Store, StoreData};
 
 fn write(key: &str, expected: u64, lease: u64) -> Transaction {
     Transaction {
@@ -46,3 +48,22 @@
     assert!(data.changes("", 0).is_none());
     assert!(data.changes("", 1).unwrap().is_empty());
 }
+
+/// Guards against a return from a copy that daemons could not tell from a running store: revisions
+/// go back, the writes of daemons are lost and those of the operators are written again.
+#[test]
+fn a_restored_store_has_lost_what_daemons_wrote_since() {
+    let store = Store::default();
+    store.write_configuration(b"1".to_vec());
+    let copy = store.copy();
+    store.write(write("a", 0, 0));
+    store.write(write("b", 0, 0));
+    store.write_configuration(b"2".to_vec());
+    assert_eq!(store.copy().revision, 4);
+    store.restore(copy);
+    let data = store.copy();
+    assert_eq!((data.revision, store.era.get()), (2, 1));
+    assert_eq!(data.value(CONFIGURATION_KEY), Some(b"2".to_vec()));
+    assert_eq!(data.value("a"), None);
+    assert!(data.changes("", 4).is_none(), "the history is gone");
+}
