Pause between listings when the store refuses each watch after them

The first listing after a refused watch is immediate, further ones wait like failed calls. A refused watch that was not sent no longer counts as an answer of the store.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -86,7 +86,7 @@
     write_needed: Notify,
     /// Wakes the watches when the store is reachable again.
     reachable: Notify,
-    /// Era of the store that the watches follow.
+    /// Era of the store when a call last succeeded.
     era: Cell<Option<Era>>,
 }
 
@@ -173,6 +173,8 @@
         let mut freshness = Freshness::Stale;
         let mut delay = RetryDelay::default();
         let mut wait = WATCH_TIMEOUT;
+        // Whether no watch has succeeded since a listing replaced one.
+        let mut relisted = false;
         loop {
             let result = match (part, position) {
                 (StorePart::Configuration, None) => {
@@ -190,15 +192,21 @@
                     delay.reset();
                     if position.is_some() {
                         wait = WATCH_TIMEOUT;
+                        relisted = false;
                     }
                     position = Some(next);
                 }
                 Err(StoreError::Compacted) => {
                     let after = position.unwrap_or_default();
                     info!(event = "store_listed_again", part = part.name(), after = after.revision, era = daemon.store.era(); "");
-                    self.record_success(&daemon);
                     freshness = Freshness::Current;
                     position = None;
+                    // The first listing is urgent; a store that refuses each watch after it is not
+                    // asked without a pause.
+                    if relisted {
+                        tokio::time::sleep(delay.next(random(&daemon))).await;
+                    }
+                    relisted = true;
                 }
                 Err(error) => {
                     self.record_failure(&daemon, part.name(), &error);
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -192,3 +192,39 @@
         })
         .await;
 }
+
+/// Guards against a flood of listings when the store has none of the history that it lists, as after
+/// a malformed era.
+#[tokio::test]
+async fn a_store_that_refuses_every_watch_is_not_asked_without_a_pause() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let store = Store::new(listener.local_addr().unwrap(), Duration::from_secs(1));
+            let (daemon, _) = daemon_with(store);
+            let discovery = Rc::new(Discovery::default());
+            let follow = discovery.follow(Rc::clone(&daemon), StorePart::Configuration);
+            tokio::task::spawn_local(follow);
+            let answer = async {
+                loop {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    let mut request = vec![0; 1_024];
+                    let count = stream.read(&mut request).await.unwrap();
+                    let request = String::from_utf8_lossy(&request[..count]).into_owned();
+                    let (status, body) = if request.contains("range") {
+                        ("200 OK", LISTING)
+                    } else {
+                        ("410 Gone", "{}")
+                    };
+                    let head = format!("HTTP/1.1 {status}\r\nConnection: close\r\n");
+                    let length = body.len();
+                    let response = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+                    stream.write_all(response.as_bytes()).await.unwrap();
+                }
+            };
+            let time = Duration::from_secs(2);
+            drop(tokio::time::timeout(time, answer).await);
+            assert!(daemon.store.calls() <= 24, "{}", daemon.store.calls());
+        })
+        .await;
+}
