Let an endpoint of the soak state one rate limit at a time

Two limits overlapped on one endpoint; the end of the first cleared the statement of the second, as the log of its daemon shows (10 to -1 after 0.5 s), while the soak still counted against it. A fault of the soak: nothing was stated when the calls came. A limit is now stated only if none is.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -200,10 +200,13 @@
         }
     }
 
-    /// States a rate limit for some time.
+    /// States a rate limit for some time, unless one is stated already.
     pub async fn limit_rate(&self, limit: f64, time: Duration) {
         let from = Instant::now();
         let statement = self.statement.get();
+        if statement.rate_limit.is_some() {
+            return;
+        }
         self.statement.set(Statement {
             rate_limit: Some(limit),
             ..statement
