--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -13,7 +13,6 @@
 use crate::http::Connection;
 use crate::record::Record;
 use crate::sys;
-use crate::upstream::State;
 
 /// Host of the routes.
 const HOST: &str = "hulo84.example";
@@ -71,15 +70,29 @@
 }
 
 /// Ends a daemon that exceeds its memory and starts it again a second later, as the platform does.
-fn watch_memory(vm: &Arc<Vm>, stop: &Arc<AtomicBool>, ends: &Arc<AtomicU32>, peak: &Arc<AtomicU64>, record: &Record) {
-    let (vm, stop, ends, peak, record) =
-        (Arc::clone(vm), Arc::clone(stop), Arc::clone(ends), Arc::clone(peak), record.clone());
+fn watch_memory(
+    vm: &Arc<Vm>,
+    stop: &Arc<AtomicBool>,
+    ends: &Arc<AtomicU32>,
+    peak: &Arc<AtomicU64>,
+    record: &Record,
+) {
+    let (vm, stop, ends, peak, record) = (
+        Arc::clone(vm),
+        Arc::clone(stop),
+        Arc::clone(ends),
+        Arc::clone(peak),
+        record.clone(),
+    );
     thread::spawn(move || {
         while !stop.load(Ordering::Relaxed) {
             if let Some(resident) = vm.resident_mb() {
                 peak.fetch_max(resident, Ordering::Relaxed);
                 if resident > MEMORY_MB {
-                    record.say(&format!("{} uses {resident} MB of {MEMORY_MB} MB: killed", vm.name));
+                    record.say(&format!(
+                        "{} uses {resident} MB of {MEMORY_MB} MB: killed",
+                        vm.name
+                    ));
                     vm.kill();
                     ends.fetch_add(1, Ordering::Relaxed);
                     thread::sleep(Duration::from_secs(1));
@@ -97,7 +110,12 @@
 fn memory(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
     let uploads: usize = parameter("UPLOADS", 2);
     let megabytes: usize = parameter("MEGABYTES", 60);
-    let fleet = Fleet::start(&["alpha", "alpha", "alpha", "alpha"], &config(5_000), directory, record)?;
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "alpha", "alpha"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
     let stop = Arc::new(AtomicBool::new(false));
     let ends: Vec<Arc<AtomicU32>> = fleet.vms.iter().map(|_| Arc::default()).collect();
     let peaks: Vec<Arc<AtomicU64>> = fleet.vms.iter().map(|_| Arc::default()).collect();
@@ -106,7 +124,14 @@
     }
     let get = Request::get(HOST, "/read/a?work=400", Duration::from_secs(5));
     let steady: Vec<Steady> = (0..16)
-        .map(|client| Steady::start(fleet.vms[client % 2].calls(), &get, Duration::from_millis(20), record))
+        .map(|client| {
+            Steady::start(
+                fleet.vms[client % 2].calls(),
+                &get,
+                Duration::from_millis(20),
+                record,
+            )
+        })
         .collect();
     thread::sleep(Duration::from_secs(3));
     let mut uploaded = Vec::new();
@@ -119,20 +144,37 @@
         };
         let clients: Vec<_> = (0..2 * uploads)
             .map(|client| {
-                let (address, upload, record) = (fleet.vms[client % 2].calls(), upload.clone(), record.clone());
+                let (address, upload, record) = (
+                    fleet.vms[client % 2].calls(),
+                    upload.clone(),
+                    record.clone(),
+                );
                 thread::spawn(move || {
                     let mut connection = Connection::open(address).ok()?;
-                    Some(client::exchange(&mut connection, &upload, 0, Reading::AtOnce, &record))
+                    Some(client::exchange(
+                        &mut connection,
+                        &upload,
+                        0,
+                        Reading::AtOnce,
+                        &record,
+                    ))
                 })
             })
             .collect();
-        uploaded.extend(clients.into_iter().filter_map(|client| client.join().ok().flatten()));
+        uploaded.extend(
+            clients
+                .into_iter()
+                .filter_map(|client| client.join().ok().flatten()),
+        );
         thread::sleep(Duration::from_secs(6));
     }
     let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
     stop.store(true, Ordering::Relaxed);
     for (index, vm) in fleet.vms.iter().enumerate() {
-        let (ends, peak) = (ends[index].load(Ordering::Relaxed), peaks[index].load(Ordering::Relaxed));
+        let (ends, peak) = (
+            ends[index].load(Ordering::Relaxed),
+            peaks[index].load(Ordering::Relaxed),
+        );
         record.say(&format!("{}: peak {peak} MB, killed {ends} times", vm.name));
     }
     tally("requests on kept connections", &sent, record);
@@ -141,30 +183,56 @@
     for sent in &lost {
         record.line(&format!("lost {} {:?}", sent.id, sent.outcome));
     }
-    record.say(&format!("passed on from a kept connection and lost: {} (3 are allowed)", lost.len()));
-    let often = ends.iter().filter(|ends| ends.load(Ordering::Relaxed) >= 3).count();
-    record.say(&format!("machines whose process ended three times: {often} (1 is allowed)"));
+    record.say(&format!(
+        "passed on from a kept connection and lost: {} (3 are allowed)",
+        lost.len()
+    ));
+    let often = ends
+        .iter()
+        .filter(|ends| ends.load(Ordering::Relaxed) >= 3)
+        .count();
+    record.say(&format!(
+        "machines whose process ended three times: {often} (1 is allowed)"
+    ));
     Ok(lost.len() > 3 || often >= 2)
 }
 
 fn parameter(name: &str, default: usize) -> usize {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
 }
 
 /// A daemon gets SIGTERM while clients read their answers slowly.
 fn slow_stop(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
     let size = parameter("SIZE", 8_000_000);
     let rate = parameter("RATE", 1_800_000);
-    let fleet = Fleet::start(&["alpha", "alpha", "beta"], &config(5_000), directory, record)?;
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
     let entry = Arc::clone(&fleet.vms[2]);
-    let request = Request::get(HOST, &format!("/read/a?work=50&size={size}"), Duration::from_secs(6));
+    let request = Request::get(
+        HOST,
+        &format!("/read/a?work=50&size={size}"),
+        Duration::from_secs(6),
+    );
     let clients: Vec<_> = (0..8)
         .map(|_| {
             let (address, request, record) = (entry.calls(), request.clone(), record.clone());
             thread::spawn(move || -> io::Result<Sent> {
                 let stream = sys::connect_small(address, 16 << 10)?;
                 let mut connection = Connection::new(stream);
-                Ok(client::exchange(&mut connection, &request, 0, Reading::Rate(rate), &record))
+                Ok(client::exchange(
+                    &mut connection,
+                    &request,
+                    0,
+                    Reading::Rate(rate),
+                    &record,
+                ))
             })
         })
         .collect();
@@ -176,20 +244,33 @@
             record.say("the daemon still runs after its grace time");
             entry.kill();
         }
-        record.say(&format!("ended {:.2} s after SIGTERM", stopped.elapsed().as_secs_f64()));
+        record.say(&format!(
+            "ended {:.2} s after SIGTERM",
+            stopped.elapsed().as_secs_f64()
+        ));
         thread::sleep(Duration::from_secs(1));
         entry.start()?;
     }
-    let sent: Vec<Sent> = clients.into_iter().filter_map(|client| client.join().ok()?.ok()).collect();
+    let sent: Vec<Sent> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok()?.ok())
+        .collect();
     for sent in &sent {
         let time = sent.ended_at.duration_since(sent.sent_at).as_secs_f64();
-        record.say(&format!("{} after {time:.2} s: {:?}, runs {}", sent.id, sent.outcome, fleet.runs(&sent.id)));
+        record.say(&format!(
+            "{} after {time:.2} s: {:?}, runs {}",
+            sent.id,
+            sent.outcome,
+            fleet.runs(&sent.id)
+        ));
     }
-    let lost = sent.iter().filter(|sent| {
-        matches!(sent.outcome, Outcome::Cut { .. }) && fleet.runs(&sent.id) > 0
-    });
+    let lost = sent
+        .iter()
+        .filter(|sent| matches!(sent.outcome, Outcome::Cut { .. }) && fleet.runs(&sent.id) > 0);
     let lost = lost.count();
-    record.say(&format!("passed on and ended without a complete answer: {lost} (0 are allowed)"));
+    record.say(&format!(
+        "passed on and ended without a complete answer: {lost} (0 are allowed)"
+    ));
     Ok(lost > 0)
 }
 
@@ -197,39 +278,86 @@
 fn slow_pause(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
     let size = parameter("SIZE", 36_000);
     let pause = Duration::from_millis(parameter("PAUSE", 3_500) as u64);
-    let fleet = Fleet::start(&["alpha", "alpha", "beta"], &config(5_000), directory, record)?;
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
     let first = Request::get(HOST, "/read/a?work=20", Duration::from_secs(5));
-    let second = Request::get(HOST, &format!("/read/a?work=50&size={size}"), Duration::from_secs(6));
+    let second = Request::get(
+        HOST,
+        &format!("/read/a?work=50&size={size}"),
+        Duration::from_secs(6),
+    );
     let clients: Vec<_> = (0..8)
         .map(|_| {
-            let (address, first, second, record) =
-                (fleet.vms[2].calls(), first.clone(), second.clone(), record.clone());
+            let (address, first, second, record) = (
+                fleet.vms[2].calls(),
+                first.clone(),
+                second.clone(),
+                record.clone(),
+            );
             thread::spawn(move || -> io::Result<Sent> {
                 let stream = sys::connect_small(address, 8 << 10)?;
                 let mut connection = Connection::new(stream);
                 client::exchange(&mut connection, &first, 0, Reading::AtOnce, &record);
-                let reading = if trouble { Reading::PauseFirst(pause) } else { Reading::AtOnce };
-                Ok(client::exchange(&mut connection, &second, 1, reading, &record))
+                let reading = if trouble {
+                    Reading::PauseFirst(pause)
+                } else {
+                    Reading::AtOnce
+                };
+                Ok(client::exchange(
+                    &mut connection,
+                    &second,
+                    1,
+                    reading,
+                    &record,
+                ))
             })
         })
         .collect();
-    let sent: Vec<Sent> = clients.into_iter().filter_map(|client| client.join().ok()?.ok()).collect();
+    let sent: Vec<Sent> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok()?.ok())
+        .collect();
     for sent in &sent {
         let time = sent.ended_at.duration_since(sent.sent_at).as_secs_f64();
-        record.say(&format!("{} after {time:.2} s: {:?}, runs {}", sent.id, sent.outcome, fleet.runs(&sent.id)));
+        record.say(&format!(
+            "{} after {time:.2} s: {:?}, runs {}",
+            sent.id,
+            sent.outcome,
+            fleet.runs(&sent.id)
+        ));
     }
     let lost = lost(&fleet, &sent).len();
-    record.say(&format!("passed on from a kept connection and lost: {lost} (3 are allowed)"));
+    record.say(&format!(
+        "passed on from a kept connection and lost: {lost} (3 are allowed)"
+    ));
     Ok(lost > 3)
 }
 
 /// A daemon is killed after it has acknowledged that its endpoint leaves. A heartbeat that the
 /// endpoint sent before arrives late, at the daemon that was started again.
 fn late_heartbeat(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
-    let fleet = Fleet::start(&["alpha", "alpha", "beta"], &config(5_000), directory, record)?;
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
     let vm = Arc::clone(&fleet.vms[0]);
+    // Endpoints of one service differ in speed; these are the factors of the site.
+    vm.upstream.slowness.store(700, Ordering::Relaxed);
+    fleet.vms[1]
+        .upstream
+        .slowness
+        .store(1_600, Ordering::Relaxed);
     let get = Request::get(HOST, "/read/a?work=40", Duration::from_secs(5));
-    let book = Request { method: "POST", ..Request::get(HOST, "/book/a?work=40", Duration::from_secs(5)) };
+    let book = Request {
+        method: "POST",
+        ..Request::get(HOST, "/book/a?work=40", Duration::from_secs(5))
+    };
     let steady: Vec<Steady> = (0..6)
         .map(|client| {
             let request = if client < 3 { &get } else { &book };
@@ -239,11 +367,14 @@
     thread::sleep(Duration::from_secs(1));
     let late = vm.upstream.heartbeat();
     let sent = Instant::now();
-    *vm.upstream.state.lock().unwrap() = State::Quiet;
+    vm.upstream.quiet.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(200));
     let status = vm.upstream.report(&vm.upstream.deregistration())?;
     let acknowledged = Instant::now();
-    record.say(&format!("the endpoint of {} deregisters: {status}", vm.name));
+    record.say(&format!(
+        "the endpoint of {} deregisters: {status}",
+        vm.name
+    ));
     if status != 200 {
         return Err(io::Error::other("the departure was not acknowledged"));
     }
@@ -260,7 +391,9 @@
     }
     let status = vm.upstream.report(&late);
     let age = sent.elapsed().as_secs_f64();
-    record.say(&format!("its last heartbeat arrives {age:.1} s late: {status:?}"));
+    record.say(&format!(
+        "its last heartbeat arrives {age:.1} s late: {status:?}"
+    ));
     // It serves for some seconds more before it exits.
     thread::sleep(Duration::from_secs(9).saturating_sub(acknowledged.elapsed()));
     let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
@@ -271,12 +404,20 @@
     let after = |at: Instant| {
         sent.iter()
             .filter(|sent| sent.sent_at > at)
-            .filter(|sent| runs.iter().any(|run| run.id == sent.id && run.begun > bound))
+            .filter(|sent| {
+                runs.iter()
+                    .any(|run| run.id == sent.id && run.begun > bound)
+            })
             .count()
     };
-    record.say(&format!("at the leaving endpoint over 2 s after the acknowledgement: {}", after(bound)));
+    record.say(&format!(
+        "at the leaving endpoint over 2 s after the acknowledgement: {}",
+        after(bound)
+    ));
     let broken = after(bound.max(in_touch));
-    record.say(&format!("of these sent when the machine was in touch again: {broken} (0 are allowed)"));
+    record.say(&format!(
+        "of these sent when the machine was in touch again: {broken} (0 are allowed)"
+    ));
     Ok(broken > 0)
 }
 
@@ -297,11 +438,23 @@
         ..Request::get(HOST, "/read/a?work=2", Duration::from_secs(5))
     };
     let mut steady: Vec<Steady> = (0..60)
-        .map(|client| Steady::start(fleet.vms[client % 6].calls(), &get, Duration::from_millis(6), record))
+        .map(|client| {
+            Steady::start(
+                fleet.vms[client % 6].calls(),
+                &get,
+                Duration::from_millis(6),
+                record,
+            )
+        })
         .collect();
     let slow = Request::get(HOST, "/read/a?work=400", Duration::from_secs(5));
     steady.extend((0..18).map(|client| {
-        Steady::start(fleet.vms[client % 6].calls(), &slow, Duration::from_millis(20), record)
+        Steady::start(
+            fleet.vms[client % 6].calls(),
+            &slow,
+            Duration::from_millis(20),
+            record,
+        )
     }));
     for _ in 0..parameter("SECONDS", 30) {
         thread::sleep(Duration::from_secs(1));
@@ -311,13 +464,23 @@
     let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
     stop.store(true, Ordering::Relaxed);
     for (index, vm) in fleet.vms.iter().enumerate() {
-        let (ends, peak) = (ends[index].load(Ordering::Relaxed), peaks[index].load(Ordering::Relaxed));
+        let (ends, peak) = (
+            ends[index].load(Ordering::Relaxed),
+            peaks[index].load(Ordering::Relaxed),
+        );
         record.say(&format!("{}: peak {peak} MB, killed {ends} times", vm.name));
     }
     tally("requests on kept connections", &sent, record);
     let lost = lost(&fleet, &sent).len();
-    record.say(&format!("passed on from a kept connection and lost: {lost} (3 are allowed)"));
-    let often = ends.iter().filter(|ends| ends.load(Ordering::Relaxed) >= 3).count();
-    record.say(&format!("machines whose process ended three times: {often} (1 is allowed)"));
+    record.say(&format!(
+        "passed on from a kept connection and lost: {lost} (3 are allowed)"
+    ));
+    let often = ends
+        .iter()
+        .filter(|ends| ends.load(Ordering::Relaxed) >= 3)
+        .count();
+    record.say(&format!(
+        "machines whose process ended three times: {often} (1 is allowed)"
+    ));
     Ok(lost > 3 || often >= 2)
 }
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -23,7 +23,11 @@
     /// A complete answer with this status, and whether it bears a seal.
     Answered(u16, bool),
     /// The connection ended before the answer was complete.
-    Cut { kind: String, received: usize, expected: usize },
+    Cut {
+        kind: String,
+        received: usize,
+        expected: usize,
+    },
     /// The client's own deadline passed.
     TimedOut,
     /// The connection could not be opened, or the request could not be sent.
@@ -65,7 +69,15 @@
 
 impl Request {
     pub fn get(host: &'static str, target: &str, deadline: Duration) -> Self {
-        Self { method: "GET", host, target: target.to_owned(), deadline, body: 0, cookie: 0, own_cookie: false }
+        Self {
+            method: "GET",
+            host,
+            target: target.to_owned(),
+            deadline,
+            body: 0,
+            cookie: 0,
+            own_cookie: false,
+        }
     }
 }
 
@@ -79,25 +91,45 @@
 ) -> Sent {
     let id = new_id();
     let sent_at = Instant::now();
-    record.line(&format!("send {id} {} {} body {}", request.method, request.target, request.body));
+    record.line(&format!(
+        "send {id} {} {} body {}",
+        request.method, request.target, request.body
+    ));
     let outcome = transfer(connection, request, &id, sent_at, reading);
     let ended_at = Instant::now();
     record.line(&format!("end {id} {outcome:?}"));
-    Sent { id, earlier, sent_at, ended_at, outcome }
+    Sent {
+        id,
+        earlier,
+        sent_at,
+        ended_at,
+        outcome,
+    }
 }
 
 fn cookie(request: &Request, id: &str) -> String {
     if request.cookie == 0 {
         return String::new();
     }
-    let word = if request.own_cookie { id } else { "0123456789abcdef" };
-    format!("Cookie: user={}\r\n", word.repeat(request.cookie / word.len()))
+    let word = if request.own_cookie {
+        id
+    } else {
+        "0123456789abcdef"
+    };
+    format!(
+        "Cookie: user={}\r\n",
+        word.repeat(request.cookie / word.len())
+    )
 }
 
 fn cut(error: &io::Error, received: usize, expected: usize) -> Outcome {
     match error.kind() {
         io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Outcome::TimedOut,
-        kind => Outcome::Cut { kind: kind.to_string(), received, expected },
+        kind => Outcome::Cut {
+            kind: kind.to_string(),
+            received,
+            expected,
+        },
     }
 }
 
@@ -119,7 +151,11 @@
     );
     let left = |connection: &Connection| {
         let left = request.deadline.saturating_sub(sent_at.elapsed());
-        drop(connection.stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))));
+        drop(
+            connection
+                .stream
+                .set_read_timeout(Some(left.max(Duration::from_millis(1)))),
+        );
     };
     drop(connection.stream.set_write_timeout(Some(request.deadline)));
     if connection.write(head.as_bytes()).is_err() {
@@ -140,7 +176,13 @@
     left(connection);
     let head = match connection.head() {
         Ok(Some(head)) => head,
-        Ok(None) => return Outcome::Cut { kind: "closed".to_owned(), received: 0, expected: 0 },
+        Ok(None) => {
+            return Outcome::Cut {
+                kind: "closed".to_owned(),
+                received: 0,
+                expected: 0,
+            };
+        }
         Err(error) => return cut(&error, 0, 0),
     };
     let length = head.length();
@@ -180,13 +222,18 @@
     pub fn start(address: SocketAddr, request: &Request, pause: Duration, record: &Record) -> Self {
         let sent = Arc::new(Mutex::new(Vec::new()));
         let stop = Arc::new(AtomicBool::new(false));
-        let (log, end, request, record) =
-            (Arc::clone(&sent), Arc::clone(&stop), request.clone(), record.clone());
+        let (log, end, request, record) = (
+            Arc::clone(&sent),
+            Arc::clone(&stop),
+            request.clone(),
+            record.clone(),
+        );
         let thread = thread::spawn(move || {
             let mut open: Option<(Connection, u32)> = None;
             while !end.load(Ordering::Relaxed) {
-                let Some((mut connection, earlier)) =
-                    open.take().or_else(|| Connection::open(address).ok().map(|open| (open, 0)))
+                let Some((mut connection, earlier)) = open
+                    .take()
+                    .or_else(|| Connection::open(address).ok().map(|open| (open, 0)))
                 else {
                     thread::sleep(Duration::from_millis(100));
                     continue;
@@ -199,7 +246,11 @@
                 thread::sleep(pause);
             }
         });
-        Self { sent, stop, thread: Some(thread) }
+        Self {
+            sent,
+            stop,
+            thread: Some(thread),
+        }
     }
 
     /// Ends the client; returns what it sent.
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -49,8 +49,6 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub vms: Vec<Arc<Vm>>,
-    pub store: Arc<Store>,
-    pub record: Record,
 }
 
 fn ip(network: u8, host: u8) -> IpAddr {
@@ -62,7 +60,9 @@
     for _ in 0..200 {
         let first = TcpListener::bind(SocketAddr::new(addresses[0], 0))?;
         let port = first.local_addr()?.port();
-        let rest = addresses[1..].iter().map(|ip| TcpListener::bind(SocketAddr::new(*ip, port)));
+        let rest = addresses[1..]
+            .iter()
+            .map(|ip| TcpListener::bind(SocketAddr::new(*ip, port)));
         if !taken.contains(&port) && rest.collect::<io::Result<Vec<_>>>().is_ok() {
             return Ok(port);
         }
@@ -134,9 +134,13 @@
             .stdout(log("log")?)
             .stderr(log("err")?)
             .spawn()?;
-        let mut pids = OpenOptions::new().create(true).append(true).open(self.directory.join("pids"))?;
+        let mut pids = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.directory.join("pids"))?;
         writeln!(pids, "{}", child.id())?;
-        self.record.say(&format!("start {} pid {}", self.name, child.id()));
+        self.record
+            .say(&format!("start {} pid {}", self.name, child.id()));
         *self.child.lock().unwrap() = Some(child);
         Ok(())
     }
@@ -167,7 +171,9 @@
         let end = Instant::now() + time;
         loop {
             let mut child = self.child.lock().unwrap();
-            let ended = child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+            let ended = child
+                .as_mut()
+                .is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
             if ended {
                 *child = None;
                 drop(child);
@@ -185,7 +191,9 @@
     pub fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let mut connection = Connection::open(self.at(self.ports.ready))?;
-            connection.stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+            connection
+                .stream
+                .set_read_timeout(Some(Duration::from_millis(500)))?;
             let request = format!("GET /v1/readiness HTTP/1.1\r\nHost: {}\r\n\r\n", self.ip);
             connection.write(request.as_bytes())?;
             Ok(connection.head()?.map_or(0, |head| head.status()))
@@ -207,7 +215,9 @@
     /// Resident memory of its daemon in MB.
     pub fn resident_mb(&self) -> Option<u64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
         let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
         Some(kib / 1_024)
     }
@@ -217,9 +227,16 @@
     /// Starts the store, the endpoints and the daemons, and waits until all are ready.
     ///
     /// `services` names the service of each VM.
-    pub fn start(services: &[&str], config: &str, directory: &Path, record: &Record) -> io::Result<Self> {
+    pub fn start(
+        services: &[&str],
+        config: &str,
+        directory: &Path,
+        record: &Record,
+    ) -> io::Result<Self> {
         let network = (std::process::id() % 200) as u8 + 1;
-        let hosts: Vec<IpAddr> = (0..services.len()).map(|vm| ip(network, 10 + vm as u8)).collect();
+        let hosts: Vec<IpAddr> = (0..services.len())
+            .map(|vm| ip(network, 10 + vm as u8))
+            .collect();
         let mut taken = Vec::new();
         let mut port = || -> io::Result<u16> {
             let port = free_port(&hosts, &taken)?;
@@ -244,7 +261,14 @@
             let at = |port| SocketAddr::new(hosts[index], port);
             let id = format!("i-{index}f3a91c2");
             let upstream = Upstream::start(
-                &id, &name, service, "zone-a", at(ports.app), at(ports.control), 36, record,
+                &id,
+                &name,
+                service,
+                "zone-a",
+                at(ports.app),
+                at(ports.control),
+                36,
+                record,
             )?;
             let vm = Arc::new(Vm {
                 name,
@@ -265,7 +289,7 @@
         for vm in &vms {
             vm.upstream.start_heartbeats(HEARTBEAT);
         }
-        let fleet = Self { vms, store, record: record.clone() };
+        let fleet = Self { vms };
         for vm in &fleet.vms {
             if !vm.wait_ready(Duration::from_secs(10)) {
                 return Err(io::Error::other(format!("{} is not ready", vm.name)));
@@ -278,7 +302,15 @@
 
     /// Number of runs of a request at all upstreams.
     pub fn runs(&self, id: &str) -> usize {
-        let count = |vm: &Arc<Vm>| vm.upstream.runs.lock().unwrap().iter().filter(|run| run.id == id).count();
+        let count = |vm: &Arc<Vm>| {
+            vm.upstream
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|run| run.id == id)
+                .count()
+        };
         self.vms.iter().map(count).sum()
     }
 
@@ -286,7 +318,14 @@
     pub fn ran(&self) -> std::collections::HashSet<String> {
         let mut ids = std::collections::HashSet::new();
         for vm in &self.vms {
-            ids.extend(vm.upstream.runs.lock().unwrap().iter().map(|run| run.id.clone()));
+            ids.extend(
+                vm.upstream
+                    .runs
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .map(|run| run.id.clone()),
+            );
         }
         ids
     }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -13,22 +13,23 @@
 
 impl Head {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
     pub fn length(&self) -> usize {
-        self.field("Content-Length").and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.field("Content-Length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn status(&self) -> u16 {
         let word = self.line.split(' ').nth(1);
         word.and_then(|text| text.parse().ok()).unwrap_or(0)
     }
-
-    pub fn closes(&self) -> bool {
-        self.field("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// A connection with the bytes that were read ahead.
@@ -41,7 +42,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         drop(stream.set_nodelay(true));
-        Self { stream, ahead: Vec::new() }
+        Self {
+            stream,
+            ahead: Vec::new(),
+        }
     }
 
     pub fn open(address: SocketAddr) -> io::Result<Self> {
@@ -115,8 +119,13 @@
     let mut bytes = Vec::new();
     let mut rest = value.as_bytes();
     while let Some((first, tail)) = rest.split_first() {
-        let hex = tail.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
-        match (first, hex.and_then(|digits| u8::from_str_radix(digits, 16).ok())) {
+        let hex = tail
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        match (
+            first,
+            hex.and_then(|digits| u8::from_str_radix(digits, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 bytes.push(byte);
                 rest = &tail[2..];
--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -96,7 +96,10 @@
 
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
-        while matches!(self.bytes.get(self.at), Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')) {
+        while matches!(
+            self.bytes.get(self.at),
+            Some(b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+        ) {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -16,7 +16,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(BufWriter::new(File::create(path)?)));
-        Ok(Self { start: Instant::now(), file })
+        Ok(Self {
+            start: Instant::now(),
+            file,
+        })
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -33,8 +33,6 @@
     revision: u64,
     leases: HashMap<u64, (Duration, Instant)>,
     last_lease: u64,
-    /// Whether the store accepts calls and does not answer.
-    down: bool,
 }
 
 /// Stand-in store.
@@ -53,15 +51,31 @@
 
 impl Data {
     fn put(&mut self, key: &str, value: String, lease: u64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.events.push(Event { key: key.to_owned(), revision: self.revision, item: Some(item) });
+        self.events.push(Event {
+            key: key.to_owned(),
+            revision: self.revision,
+            item: Some(item),
+        });
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            self.events.push(Event { key: key.to_owned(), revision: self.revision, item: None });
+            self.events.push(Event {
+                key: key.to_owned(),
+                revision: self.revision,
+                item: None,
+            });
         }
     }
 
@@ -87,7 +101,10 @@
         let text = |row: &Json, name| row.get(name).map_or("", Json::text).to_owned();
         let number = |row: &Json, name| row.get(name).map_or(0, Json::number);
         let holds = list("ExpectedRev").iter().all(|row| {
-            let known = self.items.get(&text(row, "Key")).map_or(0, |item| item.revision);
+            let known = self
+                .items
+                .get(&text(row, "Key"))
+                .map_or(0, |item| item.revision);
             known == number(row, "Revision")
         });
         if !holds {
@@ -101,7 +118,10 @@
             return (412, format!(r#"{{"items":[{}]}}"#, items.join(",")));
         }
         let exists = |lease| lease == 0 || self.leases.contains_key(&lease);
-        if !list("Writes").iter().all(|row| exists(number(row, "Lease"))) {
+        if !list("Writes")
+            .iter()
+            .all(|row| exists(number(row, "Lease")))
+        {
             return (404, "{}".to_owned());
         }
         self.revision += 1;
@@ -147,31 +167,8 @@
         self.changed.notify_all();
     }
 
-    /// Makes the store silent, or ends that. Leases pause meanwhile.
-    pub fn set_down(&self, down: bool) {
-        let mut data = self.data.lock().unwrap();
-        data.down = down;
-        let now = Instant::now();
-        if !down {
-            for (life, end) in data.leases.values_mut() {
-                *end = now + *life;
-            }
-        }
-        drop(data);
-        self.changed.notify_all();
-    }
-
-    /// Returns the value of a key as base64 text, and its revision.
-    pub fn read(&self, key: &str) -> Option<(String, u64)> {
-        let data = self.data.lock().unwrap();
-        data.items.get(key).map(|item| (item.value.clone(), item.revision))
-    }
-
     fn expire(&self) {
         let mut data = self.data.lock().unwrap();
-        if data.down {
-            return;
-        }
         let now = Instant::now();
         let ended: Vec<u64> = data
             .leases
@@ -194,21 +191,12 @@
             let Ok(body) = connection.body(head.length()) else {
                 return;
             };
-            if self.data.lock().unwrap().down {
-                // The call is neither executed nor answered.
-                thread::sleep(Duration::from_secs(20));
-                return;
-            }
             thread::sleep(Duration::from_millis(4));
             let (status, body) = self.execute(&head, &body);
             let text = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if self.data.lock().unwrap().down {
-                thread::sleep(Duration::from_secs(20));
-                return;
-            }
             if connection.write(text.as_bytes()).is_err() {
                 return;
             }
@@ -221,7 +209,10 @@
         let path = target.split('?').next().unwrap_or("");
         let body = Json::parse(body).unwrap_or(Json::Null);
         let number = |name| query(target, name).and_then(|text| text.parse::<u64>().ok());
-        let id = path.rsplit('/').next().and_then(|text| text.parse::<u64>().ok());
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|text| text.parse::<u64>().ok());
         let prefix = query(target, "PathPrefix").unwrap_or_default();
         let mut data = self.data.lock().unwrap();
         match (method, path) {
@@ -231,7 +222,10 @@
                 found.map_or((404, "{}".to_owned()), |item| {
                     let mut text = item_json(&key, item);
                     text.pop();
-                    (200, format!(r#"{text},"StoreRevision":{}}}"#, data.revision))
+                    (
+                        200,
+                        format!(r#"{text},"StoreRevision":{}}}"#, data.revision),
+                    )
                 })
             }
             ("GET", "/v1/kv-range") => {
@@ -245,7 +239,12 @@
                     .collect();
                 let revision = data.revision;
                 let items = items.join(",");
-                (200, format!(r#"{{"items":[{items}],"Truncated":false,"StoreRevision":{revision}}}"#))
+                (
+                    200,
+                    format!(
+                        r#"{{"items":[{items}],"Truncated":false,"StoreRevision":{revision}}}"#
+                    ),
+                )
             }
             ("GET", "/v1/kv-watch") => {
                 let after = number("after").unwrap_or(0);
@@ -268,7 +267,10 @@
                     if !events.is_empty() || left.is_zero() {
                         let revision = data.revision;
                         let events = events.join(",");
-                        return (200, format!(r#"{{"events":[{events}],"StoreRevision":{revision}}}"#));
+                        return (
+                            200,
+                            format!(r#"{{"events":[{events}],"StoreRevision":{revision}}}"#),
+                        );
                     }
                     data = self.changed.wait_timeout(data, left).unwrap().0;
                 }
@@ -280,7 +282,10 @@
                 answer
             }
             ("POST", "/v1/kv-lease") => {
-                let life = body.get("TtlMs").map_or(1_000, Json::number).clamp(1_000, 600_000);
+                let life = body
+                    .get("TtlMs")
+                    .map_or(1_000, Json::number)
+                    .clamp(1_000, 600_000);
                 data.last_lease += 1;
                 let lease = 7_000 + data.last_lease;
                 let time = Duration::from_millis(life);
--- a/review/standin/src/sys.rs
+++ b/review/standin/src/sys.rs
@@ -7,8 +7,6 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 const AF_INET: c_int = 2;
 const SOCK_STREAM: c_int = 1;
@@ -28,7 +26,8 @@
 unsafe extern "C" {
     fn kill(pid: c_int, signal: c_int) -> c_int;
     fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int;
-    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32) -> c_int;
+    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32)
+    -> c_int;
     fn connect(fd: c_int, address: *const SockAddrIn, length: u32) -> c_int;
 }
 
@@ -52,7 +51,10 @@
         }
         (fd, TcpStream::from_raw_fd(fd))
     };
-    for (level, name, value) in [(IPPROTO_TCP, TCP_MAXSEG, 1_400), (SOL_SOCKET, SO_RCVBUF, receive_buffer)] {
+    for (level, name, value) in [
+        (IPPROTO_TCP, TCP_MAXSEG, 1_400),
+        (SOL_SOCKET, SO_RCVBUF, receive_buffer),
+    ] {
         // SAFETY: the value is a number of the stated length.
         let result = unsafe { setsockopt(fd, level, name, (&raw const value).cast(), 4) };
         if result != 0 {
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -18,17 +18,6 @@
 pub struct Run {
     pub id: String,
     pub begun: Instant,
-    pub caller: String,
-    pub body: usize,
-}
-
-/// What an upstream reports of itself in heartbeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    Ready,
-    Draining,
-    /// It sends no more heartbeats.
-    Quiet,
 }
 
 #[derive(Debug)]
@@ -43,9 +32,10 @@
     pub slots: u32,
     pub record: Record,
     pub runs: Mutex<Vec<Run>>,
-    pub state: Mutex<State>,
-    /// Whether its answers say that it leaves.
-    pub leaving: AtomicBool,
+    /// Whether it sends no more heartbeats.
+    pub quiet: AtomicBool,
+    /// Factor on the time of its work, in thousandths.
+    pub slowness: AtomicU64,
     sequence: AtomicU64,
 }
 
@@ -62,7 +52,9 @@
         record: &Record,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
-        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap();
+        let wall = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap();
         let upstream = Arc::new(Self {
             id: id.to_owned(),
             vm: vm.to_owned(),
@@ -74,8 +66,8 @@
             slots,
             record: record.clone(),
             runs: Mutex::default(),
-            state: Mutex::new(State::Ready),
-            leaving: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
+            slowness: AtomicU64::new(1_000),
             sequence: AtomicU64::new(0),
         });
         let server = Arc::clone(&upstream);
@@ -93,7 +85,7 @@
         let upstream = Arc::clone(self);
         thread::spawn(move || {
             loop {
-                if *upstream.state.lock().unwrap() != State::Quiet {
+                if !upstream.quiet.load(Ordering::Relaxed) {
                     let beat = upstream.heartbeat();
                     let status = upstream.report(&beat);
                     let vm = &upstream.vm;
@@ -107,12 +99,8 @@
     /// Returns a heartbeat with the next sequence number.
     pub fn heartbeat(&self) -> Vec<u8> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let state = match *self.state.lock().unwrap() {
-            State::Draining => "draining",
-            State::Ready | State::Quiet => "ready",
-        };
         let body = format!(
-            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"{state}","ColdRemainingMs":0,"Seq":{sequence},"born":{}}}"#,
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"ready","ColdRemainingMs":0,"Seq":{sequence},"born":{}}}"#,
             self.service, self.address, self.zone, self.slots, self.born
         );
         self.message("heartbeat", &body)
@@ -136,7 +124,9 @@
     /// Sends a message to the daemon beside it; returns the status of the response.
     pub fn report(&self, message: &[u8]) -> io::Result<u16> {
         let mut connection = Connection::open(self.control)?;
-        connection.stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        connection
+            .stream
+            .set_read_timeout(Some(Duration::from_secs(1)))?;
         connection.write(message)?;
         Ok(connection.head()?.map_or(0, |head| head.status()))
     }
@@ -159,7 +149,10 @@
             while left > 0 {
                 left -= connection.part(left)?.len();
             }
-            let id = head.field("X-Sapphiredoor-Attempt-Id").unwrap_or("").to_owned();
+            let id = head
+                .field("X-Sapphiredoor-Attempt-Id")
+                .unwrap_or("")
+                .to_owned();
             let expected = head.field("X-Sapphiredoor-Expect-Instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let text = format!(
@@ -169,15 +162,18 @@
                 connection.write(text.as_bytes())?;
                 continue;
             }
-            let caller = head.field("X-Sapphiredoor-Caller-Service").unwrap_or("").to_owned();
-            self.record.line(&format!("run {id} at {} body {length}", self.vm));
-            self.runs.lock().unwrap().push(Run { id: id.clone(), begun, caller, body: length });
+            self.record
+                .line(&format!("run {id} at {} body {length}", self.vm));
+            self.runs.lock().unwrap().push(Run {
+                id: id.clone(),
+                begun,
+            });
             let number = |name| query(&target, name).and_then(|text| text.parse::<u64>().ok());
-            thread::sleep(Duration::from_millis(number("work").unwrap_or(5)));
+            let work = number("work").unwrap_or(5) * self.slowness.load(Ordering::Relaxed) / 1_000;
+            thread::sleep(Duration::from_millis(work));
             let size = number("size").unwrap_or(100) as usize;
-            let leaving = if self.leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" };
             let mut bytes = format!(
-                "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: {id}\r\nX-Sapphiredoor-Server-Seal: {:x}.07.{:x}.{size}.0.00\r\nX-Sapphiredoor-Instance-Load: 1,0,{}\r\nKeep-Alive: timeout=10\r\n{leaving}Content-Length: {size}\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: {id}\r\nX-Sapphiredoor-Server-Seal: {:x}.07.{:x}.{size}.0.00\r\nX-Sapphiredoor-Instance-Load: 1,0,{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {size}\r\n\r\n",
                 self.born, length, self.slots
             )
             .into_bytes();
