--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -42,6 +42,10 @@
         "slow-stop" => slow_stop(directory, trouble, record),
         "late-heartbeat" => late_heartbeat(directory, trouble, record),
         "fields" => fields(directory, trouble, record),
+        "departure-lost" => departure_lost(directory, trouble, record),
+        "held-answers" => held_answers(directory, trouble, record),
+        "endless" => endless(directory, trouble, record),
+        "untested" => untested(directory, trouble, record),
         "slow-pause" => slow_pause(directory, trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
@@ -484,3 +488,261 @@
     ));
     Ok(lost > 3 || often >= 2)
 }
+
+/// A daemon acknowledges that its endpoint leaves while the store is away, and is killed before it
+/// can write that. The store is back before the daemon has started again.
+fn departure_lost(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
+    let vm = Arc::clone(&fleet.vms[0]);
+    // Endpoints of one service differ in speed; these are the factors of the site.
+    vm.upstream.slowness.store(700, Ordering::Relaxed);
+    fleet.vms[1]
+        .upstream
+        .slowness
+        .store(1_600, Ordering::Relaxed);
+    let get = Request::get(HOST, "/read/a?work=40", Duration::from_secs(5));
+    let steady: Vec<Steady> = (0..6)
+        .map(|_| Steady::start(vm.calls(), &get, Duration::from_millis(80), record))
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        record.say("the store is down");
+        fleet.store.set_down(true);
+    }
+    thread::sleep(Duration::from_secs(1));
+    vm.upstream.quiet.store(true, Ordering::Relaxed);
+    let status = vm.upstream.report(&vm.upstream.deregistration())?;
+    let acknowledged = Instant::now();
+    record.say(&format!(
+        "the endpoint of {} deregisters: {status}",
+        vm.name
+    ));
+    thread::sleep(Duration::from_millis(500));
+    let mut back = acknowledged;
+    if trouble {
+        vm.kill();
+        thread::sleep(Duration::from_millis(300));
+        record.say("the store is back");
+        fleet.store.set_down(false);
+        thread::sleep(Duration::from_millis(200));
+        vm.start()?;
+        back = Instant::now();
+    }
+    thread::sleep(Duration::from_secs(9).saturating_sub(acknowledged.elapsed()));
+    let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
+    tally("requests", &sent, record);
+    let bound = acknowledged + Duration::from_secs(2);
+    let in_touch = back + Duration::from_secs(3);
+    let runs = vm.upstream.runs.lock().unwrap().clone();
+    let broken = sent
+        .iter()
+        .filter(|sent| sent.sent_at > bound.max(in_touch))
+        .filter(|sent| runs.iter().any(|run| run.id == sent.id))
+        .count();
+    record.say(&format!(
+        "at the leaving endpoint over 2 s after the acknowledgement, in touch: {broken} (0 are allowed)"
+    ));
+    Ok(broken > 0)
+}
+
+/// Clients read large answers slowly; the daemon holds what they have not read.
+fn held_answers(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
+    let size = parameter("SIZE", 12_000_000);
+    let clients = parameter("CLIENTS", 24);
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
+    let vm = Arc::clone(&fleet.vms[2]);
+    let stop = Arc::new(AtomicBool::new(false));
+    let (ends, peak): (Arc<AtomicU32>, Arc<AtomicU64>) = (Arc::default(), Arc::default());
+    watch_memory(&vm, &stop, &ends, &peak, record);
+    let get = Request::get(HOST, "/read/a?work=400", Duration::from_secs(5));
+    let steady: Vec<Steady> = (0..8)
+        .map(|_| Steady::start(vm.calls(), &get, Duration::from_millis(20), record))
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    let request = Request::get(
+        HOST,
+        &format!("/read/a?work=20&size={size}"),
+        Duration::from_secs(6),
+    );
+    let readers: Vec<_> = (0..clients)
+        .map(|_| {
+            let (address, request, record) = (vm.calls(), request.clone(), record.clone());
+            let reading = if trouble {
+                Reading::Rate(2_600_000)
+            } else {
+                Reading::AtOnce
+            };
+            let handle = thread::spawn(move || -> io::Result<Sent> {
+                let stream = sys::connect_small(address, 16 << 10)?;
+                let mut connection = Connection::new(stream);
+                Ok(client::exchange(
+                    &mut connection,
+                    &request,
+                    0,
+                    reading,
+                    &record,
+                ))
+            });
+            thread::sleep(Duration::from_millis(40));
+            handle
+        })
+        .collect();
+    let read: Vec<Sent> = readers
+        .into_iter()
+        .filter_map(|reader| reader.join().ok()?.ok())
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
+    stop.store(true, Ordering::Relaxed);
+    let (ends, peak) = (ends.load(Ordering::Relaxed), peak.load(Ordering::Relaxed));
+    record.say(&format!("{}: peak {peak} MB, killed {ends} times", vm.name));
+    tally("requests on kept connections", &sent, record);
+    tally("large answers", &read, record);
+    let lost = lost(&fleet, &sent).len();
+    record.say(&format!(
+        "passed on from a kept connection and lost: {lost} (3 are allowed)"
+    ));
+    Ok(lost > 3)
+}
+
+/// An endpoint sends bytes that are no answer without end.
+fn endless(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(5_000),
+        directory,
+        record,
+    )?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let ends: Vec<Arc<AtomicU32>> = fleet.vms.iter().map(|_| Arc::default()).collect();
+    let peaks: Vec<Arc<AtomicU64>> = fleet.vms.iter().map(|_| Arc::default()).collect();
+    for (index, vm) in fleet.vms.iter().enumerate() {
+        watch_memory(vm, &stop, &ends[index], &peaks[index], record);
+    }
+    let get = Request::get(HOST, "/read/a?work=100", Duration::from_secs(5));
+    let steady: Vec<Steady> = (0..12)
+        .map(|client| {
+            Steady::start(
+                fleet.vms[client % 3].calls(),
+                &get,
+                Duration::from_millis(20),
+                record,
+            )
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    for part in ["head", "line", "interim", "chunks", "body"] {
+        let target = if trouble {
+            format!("/read/a?endless={part}")
+        } else {
+            "/read/a".to_owned()
+        };
+        let request = Request::get(HOST, &target, Duration::from_secs(5));
+        let clients: Vec<_> = (0..30)
+            .map(|client| {
+                let (address, request, record) = (
+                    fleet.vms[client % 3].calls(),
+                    request.clone(),
+                    record.clone(),
+                );
+                thread::spawn(move || -> io::Result<Sent> {
+                    let mut connection = Connection::open(address)?;
+                    Ok(client::exchange(
+                        &mut connection,
+                        &request,
+                        0,
+                        Reading::AtOnce,
+                        &record,
+                    ))
+                })
+            })
+            .collect();
+        let sent: Vec<Sent> = clients
+            .into_iter()
+            .filter_map(|client| client.join().ok()?.ok())
+            .collect();
+        tally(&format!("endless {part}"), &sent, record);
+        thread::sleep(Duration::from_secs(1));
+    }
+    let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
+    stop.store(true, Ordering::Relaxed);
+    for (index, vm) in fleet.vms.iter().enumerate() {
+        let (ends, peak) = (
+            ends[index].load(Ordering::Relaxed),
+            peaks[index].load(Ordering::Relaxed),
+        );
+        record.say(&format!("{}: peak {peak} MB, killed {ends} times", vm.name));
+    }
+    tally("requests on kept connections", &sent, record);
+    let late = sent
+        .iter()
+        .filter(|sent| matches!(sent.outcome, Outcome::TimedOut))
+        .count();
+    let lost = lost(&fleet, &sent).len();
+    record.say(&format!(
+        "lost {lost} (3 are allowed), never answered {late}"
+    ));
+    Ok(lost > 3 || late > 0 || ends.iter().any(|ends| ends.load(Ordering::Relaxed) > 0))
+}
+
+/// Requests and changes that the project's tests do not cover: `HEAD`, `Expect: 100-continue`, and
+/// settings that change without a signal.
+fn untested(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
+    let fleet = Fleet::start(
+        &["alpha", "alpha", "beta"],
+        &config(3_000),
+        directory,
+        record,
+    )?;
+    let vm = Arc::clone(&fleet.vms[2]);
+    let get = Request::get(HOST, "/read/a?work=40", Duration::from_secs(5));
+    let steady: Vec<Steady> = (0..6)
+        .map(|_| Steady::start(vm.calls(), &get, Duration::from_millis(40), record))
+        .collect();
+    if trouble {
+        let head = Request {
+            method: "HEAD",
+            ..get.clone()
+        };
+        let post = Request {
+            method: "POST",
+            body: 20_000,
+            expect: true,
+            ..Request::get(HOST, "/book/a?work=40", Duration::from_secs(5))
+        };
+        for (name, request) in [("HEAD", head), ("Expect", post)] {
+            let mut sent = Vec::new();
+            for _ in 0..5 {
+                let mut connection = Connection::open(vm.calls())?;
+                sent.push(client::exchange(
+                    &mut connection,
+                    &request,
+                    0,
+                    Reading::AtOnce,
+                    record,
+                ));
+            }
+            tally(name, &sent, record);
+            let runs: Vec<usize> = sent.iter().map(|sent| fleet.runs(&sent.id)).collect();
+            record.say(&format!("{name}: runs {runs:?}"));
+        }
+        vm.touch_settings()?;
+        thread::sleep(Duration::from_secs(5));
+        record.say(&format!("settings reloaded: {}", vm.logged("\"reloaded\"")));
+    }
+    let sent: Vec<Sent> = steady.into_iter().flat_map(Steady::finish).collect();
+    tally("requests", &sent, record);
+    Ok(sent
+        .iter()
+        .any(|sent| !matches!(sent.outcome, Outcome::Answered(200, true))))
+}
--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -65,6 +65,8 @@
     pub cookie: usize,
     /// Whether each request has a cookie of its own, rather than the same one.
     pub own_cookie: bool,
+    /// Whether it asks for an interim response before it sends the body.
+    pub expect: bool,
 }
 
 impl Request {
@@ -77,6 +79,7 @@
             body: 0,
             cookie: 0,
             own_cookie: false,
+            expect: false,
         }
     }
 }
@@ -141,12 +144,17 @@
     reading: Reading,
 ) -> Outcome {
     let head = format!(
-        "{} {} HTTP/1.1\r\nHost: {}\r\nX-Sapphiredoor-Attempt-Id: {id}\r\nX-Sapphiredoor-Deadline-Ms: {}\r\n{}Content-Length: {}\r\n\r\n",
+        "{} {} HTTP/1.1\r\nHost: {}\r\nX-Sapphiredoor-Attempt-Id: {id}\r\nX-Sapphiredoor-Deadline-Ms: {}\r\n{}{}Content-Length: {}\r\n\r\n",
         request.method,
         request.target,
         request.host,
         request.deadline.as_millis(),
         cookie(request, id),
+        if request.expect {
+            "Expect: 100-continue\r\n"
+        } else {
+            ""
+        },
         request.body
     );
     let left = |connection: &Connection| {
@@ -161,6 +169,25 @@
     if connection.write(head.as_bytes()).is_err() {
         return Outcome::NotSent;
     }
+    if request.expect {
+        // Waits a second for the interim response, as usual clients do, then sends the body.
+        drop(
+            connection
+                .stream
+                .set_read_timeout(Some(Duration::from_secs(1))),
+        );
+        match connection.head() {
+            Ok(Some(head)) if head.status() == 100 => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            other => {
+                return Outcome::Cut {
+                    kind: format!("{:?}", other.map(|head| head.map(|head| head.status()))),
+                    received: 0,
+                    expected: 0,
+                };
+            }
+        }
+    }
     let piece = vec![b'b'; 64 << 10];
     let mut rest = request.body;
     while rest > 0 {
@@ -185,7 +212,11 @@
         }
         Err(error) => return cut(&error, 0, 0),
     };
-    let length = head.length();
+    let length = if request.method == "HEAD" {
+        0
+    } else {
+        head.length()
+    };
     let mut received = 0;
     let begun = Instant::now();
     while received < length {
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -49,6 +49,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub vms: Vec<Arc<Vm>>,
+    pub store: Arc<Store>,
 }
 
 fn ip(network: u8, host: u8) -> IpAddr {
@@ -116,6 +117,23 @@
         fs::write(self.settings(), out)
     }
 
+    /// Changes the settings file without a signal.
+    pub fn touch_settings(&self) -> io::Result<()> {
+        let text = fs::read_to_string(self.settings())?;
+        let new = self.directory.join(format!("{}.new", self.name));
+        fs::write(
+            &new,
+            text.replace("\"drain_ms\": 2000", "\"drain_ms\": 1900"),
+        )?;
+        fs::rename(new, self.settings())
+    }
+
+    /// Whether its daemon has logged an event.
+    pub fn logged(&self, event: &str) -> bool {
+        let path = self.directory.join(format!("{}.log", self.name));
+        fs::read_to_string(path).is_ok_and(|text| text.contains(event))
+    }
+
     fn settings(&self) -> PathBuf {
         self.directory.join(format!("{}.jsonc", self.name))
     }
@@ -289,7 +307,7 @@
         for vm in &vms {
             vm.upstream.start_heartbeats(HEARTBEAT);
         }
-        let fleet = Self { vms };
+        let fleet = Self { vms, store };
         for vm in &fleet.vms {
             if !vm.wait_ready(Duration::from_secs(10)) {
                 return Err(io::Error::other(format!("{} is not ready", vm.name)));
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -33,6 +33,8 @@
     revision: u64,
     leases: HashMap<u64, (Duration, Instant)>,
     last_lease: u64,
+    /// Whether the store neither executes nor answers calls. Leases pause meanwhile.
+    down: bool,
 }
 
 /// Stand-in store.
@@ -167,8 +169,27 @@
         self.changed.notify_all();
     }
 
+    /// Takes the store away, or brings it back.
+    pub fn set_down(&self, down: bool) {
+        let mut data = self.data.lock().unwrap();
+        data.down = down;
+        let now = Instant::now();
+        for (life, end) in data.leases.values_mut() {
+            *end = now + *life;
+        }
+        drop(data);
+        self.changed.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        self.data.lock().unwrap().down
+    }
+
     fn expire(&self) {
         let mut data = self.data.lock().unwrap();
+        if data.down {
+            return;
+        }
         let now = Instant::now();
         let ended: Vec<u64> = data
             .leases
@@ -192,7 +213,13 @@
                 return;
             };
             thread::sleep(Duration::from_millis(4));
+            if self.is_down() {
+                return;
+            }
             let (status, body) = self.execute(&head, &body);
+            if self.is_down() {
+                return;
+            }
             let text = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
--- a/review/standin/src/upstream.rs
+++ b/review/standin/src/upstream.rs
@@ -171,15 +171,51 @@
             let number = |name| query(&target, name).and_then(|text| text.parse::<u64>().ok());
             let work = number("work").unwrap_or(5) * self.slowness.load(Ordering::Relaxed) / 1_000;
             thread::sleep(Duration::from_millis(work));
+            if let Some(part) = query(&target, "endless") {
+                return self.endless(&mut connection, &id, &part);
+            }
             let size = number("size").unwrap_or(100) as usize;
             let mut bytes = format!(
                 "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: {id}\r\nX-Sapphiredoor-Server-Seal: {:x}.07.{:x}.{size}.0.00\r\nX-Sapphiredoor-Instance-Load: 1,0,{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {size}\r\n\r\n",
                 self.born, length, self.slots
             )
             .into_bytes();
-            bytes.resize(bytes.len() + size, b'x');
+            if !head.line.starts_with("HEAD ") {
+                bytes.resize(bytes.len() + size, b'x');
+            }
             connection.write(&bytes)?;
         }
         Ok(())
     }
+
+    /// Sends bytes without end, as a server in trouble does, until the daemon closes.
+    fn endless(&self, connection: &mut Connection, id: &str, part: &str) -> io::Result<()> {
+        let head = format!("HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: {id}\r\n");
+        let (start, piece) = match part {
+            "head" => (head, "X-Filler: 0123456789abcdef\r\n".repeat(100)),
+            "line" => (head + "X-Filler: ", "0123456789abcdef".repeat(100)),
+            "interim" => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(10)),
+            "chunks" => (
+                head + "X-Sapphiredoor-Server-Seal: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                format!("1000\r\n{}\r\n", "x".repeat(4_096)),
+            ),
+            _ => (
+                head + "X-Sapphiredoor-Server-Seal: 1\r\n\r\n",
+                "x".repeat(4_096),
+            ),
+        };
+        connection.write(start.as_bytes())?;
+        let begun = Instant::now();
+        let mut bytes = 0;
+        loop {
+            if let Err(error) = connection.write(piece.as_bytes()) {
+                let time = begun.elapsed().as_secs_f64();
+                self.record.line(&format!(
+                    "endless {part} ended after {time:.2} s, {bytes} bytes: {error}"
+                ));
+                return Err(error);
+            }
+            bytes += piece.len();
+        }
+    }
 }
