--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -17,20 +17,28 @@
 /// Host of the routes.
 const HOST: &str = "hulo84.example";
 
+/// Names of the services.
+const SERVICES: [&str; 4] = ["alpha", "beta", "gamma", "delta"];
+
 fn config(timeout_ms: u64) -> String {
     let route = |prefix: &str, kind: &str, service: &str| {
         format!(
             r#""r-{service}-{kind}":{{"Host":"{HOST}","PathPrefix":"/{prefix}/","Type":"{kind}","TimeoutMs":{timeout_ms},"TargetLatencyMs":1500,"Priority":1,"Service":"{service}","MaxAttempts":2}}"#
         )
     };
-    let routes = [
+    let mut routes = vec![
         route("read", "idempotent", "alpha"),
         route("book", "non_idempotent", "alpha"),
-        route("other", "idempotent", "beta"),
     ];
+    for service in SERVICES {
+        routes.push(route(service, "idempotent", service));
+    }
     let service = r#"{"HealthPath":"/health","MaxConnections":316,"Protocol":"h1","Tls":false}"#;
+    let services = SERVICES
+        .map(|name| format!(r#""{name}":{service}"#))
+        .join(",");
     format!(
-        r#"{{"Version":7,"Routes":{{{}}},"Services":{{"alpha":{service},"beta":{service}}},"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        r#"{{"Version":7,"Routes":{{{}}},"Services":{{{services}}},"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
         routes.join(",")
     )
 }
@@ -428,7 +436,8 @@
 /// Many clients send requests whose fields differ, as cookies or tokens of users do.
 fn fields(directory: &Path, trouble: bool, record: &Record) -> io::Result<bool> {
     let bytes = parameter("BYTES", 15_000);
-    let services = ["alpha"; 6];
+    // Four services of three endpoints each, like those of the site.
+    let services: Vec<&str> = SERVICES.iter().flat_map(|service| [*service; 3]).collect();
     let fleet = Fleet::start(&services, &config(5_000), directory, record)?;
     let stop = Arc::new(AtomicBool::new(false));
     let ends: Vec<Arc<AtomicU32>> = fleet.vms.iter().map(|_| Arc::default()).collect();
@@ -436,26 +445,31 @@
     for (index, vm) in fleet.vms.iter().enumerate() {
         watch_memory(vm, &stop, &ends[index], &peaks[index], record);
     }
-    let get = Request {
-        cookie: bytes,
-        own_cookie: trouble,
-        ..Request::get(HOST, "/read/a?work=2", Duration::from_secs(5))
+    let vms = fleet.vms.len();
+    let get = |client: usize, work: u64| {
+        let service = SERVICES[client / vms % SERVICES.len()];
+        Request::get(
+            HOST,
+            &format!("/{service}/a?work={work}"),
+            Duration::from_secs(5),
+        )
     };
-    let mut steady: Vec<Steady> = (0..60)
+    let mut steady: Vec<Steady> = (0..8 * vms)
         .map(|client| {
-            Steady::start(
-                fleet.vms[client % 6].calls(),
-                &get,
-                Duration::from_millis(6),
-                record,
-            )
+            let request = Request {
+                cookie: bytes,
+                own_cookie: trouble,
+                ..get(client, 2)
+            };
+            let address = fleet.vms[client % vms].calls();
+            Steady::start(address, &request, Duration::from_millis(8), record)
         })
         .collect();
-    let slow = Request::get(HOST, "/read/a?work=400", Duration::from_secs(5));
-    steady.extend((0..18).map(|client| {
+    steady.extend((0..4 * vms).map(|client| {
+        let address = fleet.vms[client % vms].calls();
         Steady::start(
-            fleet.vms[client % 6].calls(),
-            &slow,
+            address,
+            &get(client, 400),
             Duration::from_millis(20),
             record,
         )
