Review stand-ins: name routes by their prefix

Two routes had one name since the services of case 2 were added, so that requests of the other cases were answered 404.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -23,7 +23,7 @@
 fn config(timeout_ms: u64) -> String {
     let route = |prefix: &str, kind: &str, service: &str| {
         format!(
-            r#""r-{service}-{kind}":{{"Host":"{HOST}","PathPrefix":"/{prefix}/","Type":"{kind}","TimeoutMs":{timeout_ms},"TargetLatencyMs":1500,"Priority":1,"Service":"{service}","MaxAttempts":2}}"#
+            r#""r-{prefix}":{{"Host":"{HOST}","PathPrefix":"/{prefix}/","Type":"{kind}","TimeoutMs":{timeout_ms},"TargetLatencyMs":1500,"Priority":1,"Service":"{service}","MaxAttempts":2}}"#
         )
     };
     let mut routes = vec![
