Take over an entry whose endpoint left when a daemon starts

What callers saw: an endpoint had deregistered and got its acknowledgement; its daemon was killed and started again, and a heartbeat that the endpoint had sent before arrived 2 s late.

Cause: at its start the daemon read its own entry, which said that this instance and start is gone, and dropped it because its endpoint is not usable. The gate then knew no announcement and accepted any heartbeat, and the daemon wrote the endpoint back into the store as ready. The same happened where the heartbeat arrived before the entry was read: an entry was only looked at while the gate knew no announcement, so a departure, a drain or a later instance in it was ignored and overwritten.

Evidence: the log of the killed daemon has `entry_written state=Gone` (revision 105); the log of its successor has no line about that entry, then `endpoint state=Ready sequence=7` and `entry_written state=Ready` (106). The successor's listing must have had revision 105, so the entry was read and dropped without a line. An entry that is dropped now gets the line `entry_not_taken_over`.

Fix: the entry is taken over in any state, and whenever it corrects what the gate knows: a later start, or the same start in a state that the known announcement cannot supersede. The drain bound of an endpoint that left before the start counts as over. Because the gate has an announcement again, the entry also stays in the store under the lease of the new process and outlasts further restarts.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -93,6 +93,17 @@
         // announcement received last counts.
         true
     }
+
+    /// Returns whether this announcement, which was recorded earlier and is read again, corrects
+    /// another one of the same VM.
+    ///
+    /// The order in which records are read says nothing, so instances that cannot be ordered do not
+    /// correct each other.
+    #[must_use]
+    pub fn corrects(&self, other: &Self) -> bool {
+        (self.started_ms != other.started_ms || self.instance == other.instance)
+            && self.supersedes(other)
+    }
 }
 
 /// A VM in the store.
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -50,6 +50,19 @@
     assert!(!ended.supersedes(&restarted));
 }
 
+/// Guards against a record of another instance that replaces a heartbeat only because it was read
+/// later.
+#[test]
+fn a_record_of_an_unordered_instance_corrects_nothing() {
+    let known = announcement("i-1", 1_000, 1, State::Ready);
+    let unordered = announcement("i-2", 1_000, 9, State::Gone);
+    assert!(unordered.supersedes(&known));
+    assert!(!unordered.corrects(&known));
+    assert!(announcement("i-2", 1_001, 1, State::Ready).corrects(&known));
+    assert!(announcement("i-1", 1_000, 1, State::Gone).corrects(&known));
+    assert!(!announcement("i-1", 1_000, 1, State::Ready).corrects(&known));
+}
+
 #[test]
 fn a_gone_instance_does_not_become_ready() {
     let gone = announcement("i-1", 1_000, 5, State::Gone);
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -12,7 +12,7 @@
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
-use policy::fleet::{Announcement, State, VmEntry};
+use policy::fleet::{Announcement, InstanceId, VmEntry};
 use policy::id::{Era, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
 use policy::position::Position;
@@ -373,6 +373,9 @@
     }
 
     /// Applies the entry of this VM: at the start that of an earlier process, later its own.
+    ///
+    /// An entry whose endpoint left is taken over too. Without it, a heartbeat that arrives late
+    /// would make the endpoint ready again.
     fn apply_own_entry(&self, daemon: &Rc<Daemon>, entry: &VmEntry, position: Position) {
         if self
             .own_position
@@ -383,12 +386,13 @@
         }
         self.own_position.set(Some(position));
         let usable = entry.endpoint.service == daemon.service()
-            && entry.endpoint.address == daemon.settings.borrow().endpoint.address
-            && entry.endpoint.state != State::Gone;
-        if daemon.gate.announcement().is_none() && usable {
-            let endpoint = newest_announcement(daemon, entry);
-            info!(event = "entry_taken_over", instance = &*endpoint.instance, state:? = endpoint.state, revision = position.revision; "");
-            daemon.gate.apply_announcement(daemon, endpoint);
+            && entry.endpoint.address == daemon.settings.borrow().endpoint.address;
+        let endpoint = newest_announcement(daemon, entry);
+        let (instance, state) = (InstanceId::clone(&endpoint.instance), endpoint.state);
+        if !usable {
+            info!(event = "entry_not_taken_over", instance = &*instance, state:? = state, service = &*entry.endpoint.service, address:% = entry.endpoint.address; "the entry is of another endpoint");
+        } else if daemon.gate.apply_record(daemon, endpoint) {
+            info!(event = "entry_taken_over", instance = &*instance, state:? = state, revision = position.revision; "");
             self.up_to_date.set(false);
             daemon.publish_endpoint();
         }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -603,6 +603,23 @@
         changed
     }
 
+    /// Applies an announcement that an earlier process of this daemon recorded outside itself, if it
+    /// is newer than the known one; returns whether it was applied.
+    ///
+    /// The earlier process may have acknowledged long ago that the endpoint leaves, and the known
+    /// announcement may be a heartbeat that the endpoint sent before that and that arrived late.
+    pub fn apply_record(&self, daemon: &Rc<Daemon>, record: Announcement) -> bool {
+        let known = self.announcement();
+        if known.is_some_and(|known| !record.corrects(&known)) {
+            return false;
+        }
+        if record.state != State::Ready {
+            self.leaving.set(Some(Leaving::Earlier));
+        }
+        self.apply_announcement(daemon, record);
+        true
+    }
+
     /// Returns when the departure of an announced instance was reported, if that was before its
     /// announcement.
     fn departure(&self, announced: &Announcement) -> Option<Duration> {
