Read the own entry before it is replaced

A daemon that starts lists the fleet with a read that may be seconds old. If its predecessor wrote a departure just before it was killed, the listing still says ready. The daemon took that over, wrote it, got a conflict, and wrote once more with the revision that the conflict named, without having read what it replaced. The same happened after a write that got no response. The departure was gone from the store, and with it for every later start.

Cause: a conditional write was repeated with a new condition and old content.

Fix: after a conflict the revision counts as unknown, and an entry whose revision is unknown is read and applied, like one from a listing, before it is written. This costs one read more after a conflict.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::fleet::{Announcement, InstanceId, VmEntry};
-use policy::id::{Era, ServiceName, VmId};
+use policy::id::{Era, Revision, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
 use policy::position::Position;
 use rand::Rng;
@@ -22,6 +22,8 @@
 use crate::daemon::Daemon;
 use crate::peer;
 
+#[cfg(test)]
+mod departure_tests;
 #[cfg(test)]
 mod era_tests;
 #[cfg(test)]
@@ -489,6 +491,17 @@
         }
     }
 
+    /// Reads the entry of this VM and applies it: an earlier process may have written it. Returns
+    /// its revision, 0 if there is none.
+    async fn read_own_entry(&self, daemon: &Rc<Daemon>, key: &str) -> Result<Revision, StoreError> {
+        let Some(item) = daemon.store.get(key).await? else {
+            return Ok(0);
+        };
+        let position = Position::new(daemon.store.era(), item.revision);
+        self.apply_entry(daemon, &item.key, &item.value, position);
+        Ok(item.revision)
+    }
+
     /// Writes the entry of this VM, under a new lease if there is none.
     async fn write_entry(
         &self,
@@ -496,9 +509,6 @@
         renewed: &mut Instant,
     ) -> Result<(), StoreError> {
         let key = format!("{VM_PREFIX}{}", daemon.vm);
-        let Some(entry) = daemon.vm_entry() else {
-            return Ok(());
-        };
         let lease = if let Some((lease, _)) = self.lease.get() {
             lease
         } else {
@@ -515,8 +525,10 @@
         let expected = if let Some(own) = own.filter(|own| own.era == daemon.store.era()) {
             own.revision
         } else {
-            let item = daemon.store.get(&key).await?;
-            item.map_or(0, |item| item.revision)
+            self.read_own_entry(daemon, &key).await?
+        };
+        let Some(entry) = daemon.vm_entry() else {
+            return Ok(());
         };
         let value = serde_json::to_vec(&entry).expect("entries have a serializable form");
         let write = Write {
@@ -541,11 +553,8 @@
                 }
                 info!(event = "entry_written", revision = revision, state:? = entry.endpoint.state; "");
             }
-            WriteOutcome::Conflict(revision) => {
-                let position = Position::new(daemon.store.era(), revision);
-                self.own_position.set(Some(position));
-                self.write_needed.notify_one();
-            }
+            // The position is still unknown, so the entry is read before the next attempt.
+            WriteOutcome::Conflict(_) => self.write_needed.notify_one(),
             WriteOutcome::NoLease => {
                 self.lease.set(None);
                 self.write_needed.notify_one();
--- /dev/null
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -0,0 +1,96 @@
+//! Guards against a departure that is forgotten when a daemon is started again: a daemon that
+//! acknowledged it, was killed and serves the endpoint once more.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::standin::Transaction;
+use adapter::store;
+use policy::fleet::{Announcement, State, VmEntry};
+use policy::position::Position;
+use rstest::rstest;
+use soak::net::{self, TaskGroup};
+use soak::store::Store;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use super::{Discovery, VM_PREFIX};
+use crate::daemon::Daemon;
+use crate::testing::{announcement, daemon_with_clock};
+
+/// Time in which a daemon must have read and written what it needs: less than the operators' bound
+/// for a drain, which is 2 s.
+const BOUND: Duration = Duration::from_secs(1);
+
+fn start_store() -> (Rc<Store>, store::Store) {
+    let store = Rc::new(Store::default());
+    let listener = net::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(Rc::clone(&store).run_expiry());
+    spawn_local(Rc::clone(&store).serve(listener, 0, TaskGroup::default()));
+    (
+        store,
+        store::Store::new(address, Duration::from_millis(800)),
+    )
+}
+
+/// Writes the entry of `vm-1`, as an earlier process of its daemon does.
+fn write_entry(store: &Store, endpoint: Announcement) {
+    let entry = VmEntry {
+        vm: "vm-1".into(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        data_centre: "madrid".into(),
+        endpoint,
+    };
+    let value = serde_json::to_vec(&entry).unwrap();
+    store.write(Transaction {
+        writes: vec![(format!("{VM_PREFIX}vm-1"), value, 0)],
+        ..Transaction::default()
+    });
+}
+
+/// Returns the state in the entry of `vm-1`.
+fn stored_state(store: &Store) -> Option<State> {
+    let value = store.copy().value(&format!("{VM_PREFIX}vm-1"))?;
+    let entry: VmEntry = serde_json::from_slice(&value).unwrap();
+    Some(entry.endpoint.state)
+}
+
+fn known_state(daemon: &Daemon) -> Option<State> {
+    daemon.gate.announcement().map(|known| known.state)
+}
+
+/// Applies a heartbeat of the endpoint in which it is ready.
+fn announce_ready(daemon: &Rc<Daemon>, sequence: u64) {
+    let ready = announcement("i-1", 1, sequence, State::Ready);
+    if daemon.gate.apply_announcement(daemon, ready) {
+        daemon.publish_endpoint();
+    }
+}
+
+/// Guards against a daemon that overwrites the entry of an earlier process without reading it: the
+/// listing at the start may be seconds old, and a write without a response leaves the revision
+/// unknown.
+#[rstest]
+#[case::the_listing_was_old(Some(Position::new(0, 1)))]
+#[case::the_listing_lacked_the_entry(Some(Position::new(0, 0)))]
+#[case::the_revision_is_unknown(None)]
+#[tokio::test]
+async fn a_departure_that_was_not_read_is_not_overwritten(#[case] known: Option<Position>) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, client) = start_store();
+            write_entry(&store, announcement("i-1", 1, 1, State::Ready));
+            write_entry(&store, announcement("i-1", 1, 9, State::Gone));
+            let daemon = daemon_with_clock(client);
+            let discovery = Rc::new(Discovery::default());
+            discovery.listed.set(true);
+            discovery.own_position.set(known);
+            spawn_local(Rc::clone(&discovery).keep_entry(Rc::clone(&daemon)));
+            announce_ready(&daemon, 8);
+            sleep(BOUND).await;
+            assert_eq!(stored_state(&store), Some(State::Gone));
+            assert_eq!(known_state(&daemon), Some(State::Gone));
+        })
+        .await;
+}
