Ask other daemons at the start what they know of the own endpoint

An endpoint left, the store returned from a copy in which it is ready or not listed, and its daemon was started again: the daemon took the endpoint for ready and wrote that into the store, although all other daemons knew that it left and no longer called it. Its own clients were sent there.

Cause: the store was the only place where a daemon looked for what its predecessor had said. Other daemons were asked only while the store was away or no configuration was known, and what they said of the own VM went into the table of VMs, which the gate did not read once it had an announcement.

Fix: after the start a daemon tells three others, over a short connection, what it knows of its endpoint and takes over a newer state that they know; it goes on until three have replied. What arrives in a full state is taken over the same way. The other daemon also looks among the endpoints that left and whose VMs it has removed. The protocol between daemons has version 4.

Test: `a_departure_that_the_store_lost_is_learned_from_other_daemons`, six cases (gone, draining, stated in a response; with and without the entry in the copy).

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -189,6 +189,23 @@
         true
     }
 
+    /// Applies what a daemon says of its own endpoint; returns whether the table changed. A VM that
+    /// is not in the table is added: its entry may not be in the store yet.
+    pub fn apply_report(&mut self, entry: VmEntry) -> bool {
+        if self.members.contains_key(&entry.vm) {
+            let vm = VmId::clone(&entry.vm);
+            return self.apply_announcement(&vm, entry.endpoint);
+        }
+        self.apply_write(entry, Position::default())
+    }
+
+    /// Returns the newest announcement known of a VM, which may have been removed.
+    #[must_use]
+    pub fn newest(&self, vm: &str) -> Option<&Announcement> {
+        let member = self.members.get(vm).map(|member| &member.entry.endpoint);
+        member.or_else(|| self.departed.get(vm))
+    }
+
     /// Marks an entry that left the store at a position as missing.
     pub fn apply_removal(&mut self, now: Instant, vm: &str, position: Position) {
         if let Some(member) = self.members.get_mut(vm)
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::clock::Clock;
-use policy::fleet::{Announcement, Fleet, VmEntry};
+use policy::fleet::{Announcement, Fleet, InstanceId, State, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
 use policy::position::Position;
 use policy::routing::{Configuration, WeightedSplitter};
@@ -171,7 +171,12 @@
     }
 
     /// Merges the configuration and the VM entries that another daemon knows.
-    pub fn merge_state(&self, entries: &[(VmEntry, Position)], revision: Revision, bytes: &Bytes) {
+    pub fn merge_state(
+        self: &Rc<Self>,
+        entries: &[(VmEntry, Position)],
+        revision: Revision,
+        bytes: &Bytes,
+    ) {
         if !bytes.is_empty() {
             self.apply_configuration(bytes.clone(), revision);
         }
@@ -179,6 +184,42 @@
         for (entry, position) in entries {
             fleet.apply_write(entry.clone(), *position);
         }
+        drop(fleet);
+        let own = entries.iter().find(|(entry, _)| entry.vm == self.vm);
+        if let Some((entry, _)) = own {
+            self.apply_record(entry.endpoint.clone());
+        }
+    }
+
+    /// Applies what another daemon knows of the local endpoint, if it is newer than what the gate
+    /// knows: an earlier process of this daemon may have told it.
+    ///
+    /// A ready endpoint of which the gate knows nothing is left to its own heartbeat.
+    pub fn apply_record(self: &Rc<Self>, record: Announcement) {
+        let (instance, state) = (InstanceId::clone(&record.instance), record.state);
+        if record.service != self.service()
+            || (state == State::Ready && self.gate.announcement().is_none())
+        {
+            return;
+        }
+        if self.gate.apply_record(self, record) {
+            info!(event = "record_taken_over", instance = &*instance, state:? = state; "");
+            self.publish_endpoint();
+        }
+    }
+
+    /// Keeps what another daemon says of its own endpoint; returns the newest announcement that is
+    /// known of it.
+    pub fn keep_record(&self, vm: &str, entry: Option<VmEntry>) -> Option<Announcement> {
+        let mut fleet = self.fleet.borrow_mut();
+        let entry = entry.filter(|entry| *entry.vm == *vm && entry.vm != self.vm);
+        if let Some(entry) = entry {
+            let state = entry.endpoint.state;
+            if fleet.apply_report(entry) {
+                info!(event = "peer_endpoint", vm = vm, state:? = state; "");
+            }
+        }
+        fleet.newest(vm).cloned()
     }
 
     /// Returns the headroom of a service's endpoints, in one data centre or in all. It is zero if
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -17,6 +17,7 @@
 use policy::pacing::{self, RetryDelay};
 use policy::position::Position;
 use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::Notify;
 
 use crate::daemon::Daemon;
@@ -68,6 +69,13 @@
 /// Time between requests to other daemons while the store is unreachable.
 const STATE_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Other daemons that are asked at the start what they know of the local endpoint. One that has
+/// itself just started may know nothing.
+const RECORD_REPLIES: usize = 3;
+
+/// Time between requests to other daemons for what they know of the local endpoint.
+const RECORD_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Largest number of gates of one service whose admission share is monitored.
 const MAX_MONITORED_GATES: usize = 8;
 
@@ -679,8 +687,41 @@
         && x.slots == y.slots
 }
 
+/// Compares the state of the local endpoint with what other daemons know of it, until some of them
+/// have replied after the start.
+///
+/// The store may have returned from a copy that lacks a departure, or may not have taken it before
+/// an earlier process of this daemon was killed.
+pub async fn compare_records(daemon: Rc<Daemon>) {
+    let mut replies = 0;
+    while replies < RECORD_REPLIES {
+        tokio::time::sleep(RECORD_INTERVAL).await;
+        replies += exchange_records(&daemon).await;
+    }
+}
+
+/// Tells some other daemons the state of the local endpoint and applies newer ones that they know;
+/// returns how many replied.
+async fn exchange_records(daemon: &Rc<Daemon>) -> usize {
+    let mut addresses = other_daemons(daemon);
+    let count = RECORD_REPLIES.min(addresses.len());
+    let (chosen, _) = addresses.partial_shuffle(&mut *daemon.rng.borrow_mut(), count);
+    let exchanges = chosen
+        .iter()
+        .map(|address| peer::exchange_record(daemon, *address));
+    let replies = futures::future::join_all(exchanges).await;
+    replies.into_iter().filter(|replied| *replied).count()
+}
+
 /// Returns the address of a random daemon among the known ones and the seeds.
 fn random_daemon(daemon: &Daemon) -> Option<SocketAddr> {
+    other_daemons(daemon)
+        .choose(&mut *daemon.rng.borrow_mut())
+        .copied()
+}
+
+/// Returns the addresses of the known daemons and the seeds.
+fn other_daemons(daemon: &Daemon) -> Vec<SocketAddr> {
     let settings = daemon.settings.borrow();
     let fleet = daemon.fleet.borrow();
     let mut known: Vec<SocketAddr> = fleet
@@ -696,9 +737,5 @@
             .iter()
             .map(|seed| SocketAddr::new(seed.ip(), port)),
     );
-    if known.is_empty() {
-        return None;
-    }
-    let index = daemon.rng.borrow_mut().random_range(0..known.len());
-    Some(known[index])
+    known
 }
--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -1,10 +1,11 @@
 //! Guards against a departure that is forgotten when a daemon is started again: a daemon that
 //! acknowledged it, was killed and serves the endpoint once more.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::standin::Transaction;
+use adapter::standin::{self, Transaction};
 use adapter::store;
 use policy::fleet::{Announcement, State, VmEntry};
 use policy::position::Position;
@@ -14,24 +15,65 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-use super::{Discovery, VM_PREFIX};
+use super::{Discovery, StorePart, VM_PREFIX, compare_records};
 use crate::daemon::Daemon;
-use crate::testing::{announcement, daemon_with_clock};
+use crate::inbound;
+use crate::testing::{announcement, daemon_among, daemon_with_clock};
 
 /// Time in which a daemon must have read and written what it needs: less than the operators' bound
 /// for a drain, which is 2 s.
 const BOUND: Duration = Duration::from_secs(1);
 
-fn start_store() -> (Rc<Store>, store::Store) {
+fn start_store() -> (Rc<Store>, SocketAddr) {
     let store = Rc::new(Store::default());
+    // A daemon without a configuration asks others for all that they know.
+    store.write_configuration(standin::encode_configuration(1, &[]));
     let listener = net::bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap();
     spawn_local(Rc::clone(&store).run_expiry());
     spawn_local(Rc::clone(&store).serve(listener, 0, TaskGroup::default()));
-    (
-        store,
-        store::Store::new(address, Duration::from_millis(800)),
-    )
+    (store, address)
+}
+
+fn client(store: SocketAddr) -> store::Store {
+    store::Store::new(store, Duration::from_millis(800))
+}
+
+/// A daemon with the tasks that matter here.
+struct Process {
+    daemon: Rc<Daemon>,
+    tasks: TaskGroup,
+}
+
+impl Process {
+    fn start(vm: &str, store: SocketAddr) -> Self {
+        let listener = net::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let daemon = daemon_among(vm, listener.local_addr().unwrap(), client(store));
+        let discovery = Rc::new(Discovery::default());
+        let tasks = TaskGroup::default();
+        tasks.spawn(inbound::listen(Rc::clone(&daemon), listener));
+        for part in [StorePart::Configuration, StorePart::Fleet] {
+            tasks.spawn(Rc::clone(&discovery).follow(Rc::clone(&daemon), part));
+        }
+        tasks.spawn(Rc::clone(&discovery).keep_entry(Rc::clone(&daemon)));
+        tasks.spawn(discovery.maintain(Rc::clone(&daemon)));
+        tasks.spawn(compare_records(Rc::clone(&daemon)));
+        Self { daemon, tasks }
+    }
+
+    fn kill(self) {
+        self.tasks.abort();
+    }
+}
+
+/// Starts the daemon of `vm-2`, whose endpoint is ready.
+async fn start_other(store: SocketAddr) -> Process {
+    let other = Process::start("vm-2", store);
+    let ready = announcement("i-9", 1, 1, State::Ready);
+    other.daemon.gate.apply_announcement(&other.daemon, ready);
+    other.daemon.publish_endpoint();
+    sleep(BOUND).await;
+    other
 }
 
 /// Writes the entry of `vm-1`, as an earlier process of its daemon does.
@@ -72,17 +114,17 @@
 /// listing at the start may be seconds old, and a write without a response leaves the revision
 /// unknown.
 #[rstest]
-#[case::the_listing_was_old(Some(Position::new(0, 1)))]
+#[case::the_listing_was_old(Some(Position::new(0, 2)))]
 #[case::the_listing_lacked_the_entry(Some(Position::new(0, 0)))]
 #[case::the_revision_is_unknown(None)]
 #[tokio::test]
 async fn a_departure_that_was_not_read_is_not_overwritten(#[case] known: Option<Position>) {
     LocalSet::new()
         .run_until(async move {
-            let (store, client) = start_store();
+            let (store, address) = start_store();
             write_entry(&store, announcement("i-1", 1, 1, State::Ready));
             write_entry(&store, announcement("i-1", 1, 9, State::Gone));
-            let daemon = daemon_with_clock(client);
+            let daemon = daemon_with_clock(client(address));
             let discovery = Rc::new(Discovery::default());
             discovery.listed.set(true);
             discovery.own_position.set(known);
@@ -94,3 +136,44 @@
         })
         .await;
 }
+
+/// Guards against a daemon that is started again after the store has returned from a copy in which
+/// its endpoint is ready, although other daemons know that it left.
+#[rstest]
+#[case::gone(announcement("i-1", 1, 2, State::Gone))]
+#[case::stated_in_a_response(announcement("i-1", 1, 2, State::Leaving))]
+#[case::draining(announcement("i-1", 1, 9, State::Draining))]
+#[tokio::test]
+async fn a_departure_that_the_store_lost_is_learned_from_other_daemons(
+    #[case] departure: Announcement,
+    #[values(false, true)] entry_in_copy: bool,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, address) = start_store();
+            let _other = start_other(address).await;
+            let mut copy = store.copy();
+            let first = Process::start("vm-1", address);
+            announce_ready(&first.daemon, 1);
+            sleep(BOUND).await;
+            if entry_in_copy {
+                copy = store.copy();
+            }
+            first
+                .daemon
+                .gate
+                .apply_announcement(&first.daemon, departure.clone());
+            first.daemon.publish_endpoint();
+            sleep(BOUND).await;
+            assert_eq!(stored_state(&store), Some(departure.state));
+            first.kill();
+            store.restore(copy);
+            let second = Process::start("vm-1", address);
+            sleep(BOUND).await;
+            announce_ready(&second.daemon, 8);
+            sleep(BOUND).await;
+            assert_eq!(known_state(&second.daemon), Some(departure.state));
+            assert_eq!(stored_state(&store), Some(departure.state));
+        })
+        .await;
+}
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -21,7 +21,7 @@
 mod tests;
 
 /// Version of this protocol. A daemon refuses connections with another version.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
@@ -250,6 +250,16 @@
         /// Revision of the configuration.
         revision: u64,
     },
+    /// State of the sender's own endpoint, for the receiver to keep, and a request for the newest
+    /// state that the receiver knows of it.
+    Record {
+        /// Name of the sender's VM.
+        vm: String,
+        /// Its entry, if its endpoint is known.
+        entry: Option<VmEntry>,
+    },
+    /// Reply to a record: the newest state that the sender knows of the receiver's endpoint.
+    Recorded(Option<Announcement>),
 }
 
 /// A value that may already have been sent over the connection.
@@ -299,6 +309,8 @@
     Pong,
     AskState,
     State(Vec<(VmEntry, Position)>, u64),
+    Record(String, Option<VmEntry>),
+    Recorded(Option<Announcement>),
 }
 
 /// Id of a call. Most ids are groups of hexadecimal digits, which are sent in half the bytes.
@@ -451,6 +463,8 @@
             Frame::Pong => Wire::Pong,
             Frame::AskState => Wire::AskState,
             Frame::State { entries, revision } => Wire::State(entries.clone(), *revision),
+            Frame::Record { vm, entry } => Wire::Record(vm.clone(), entry.clone()),
+            Frame::Recorded(announcement) => Wire::Recorded(announcement.clone()),
         }
     }
 }
@@ -552,6 +566,8 @@
             Wire::Pong => Frame::Pong,
             Wire::AskState => Frame::AskState,
             Wire::State(entries, revision) => Frame::State { entries, revision },
+            Wire::Record(vm, entry) => Frame::Record { vm, entry },
+            Wire::Recorded(announcement) => Frame::Recorded(announcement),
         })
     }
 }
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -129,7 +129,12 @@
                 let (frame, body) = self.daemon.state_frame();
                 self.outbox.push(&frame, &body);
             }
+            Frame::Record { vm, entry } => {
+                let newest = self.daemon.keep_record(&vm, entry);
+                self.outbox.push(&Frame::Recorded(newest), &[]);
+            }
             Frame::Endpoint { .. }
+            | Frame::Recorded(_)
             | Frame::Response { .. }
             | Frame::NotRun { .. }
             | Frame::Unknown { .. }
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -250,7 +250,9 @@
             | Frame::Call { .. }
             | Frame::Cancel { .. }
             | Frame::Ping
-            | Frame::AskState => {
+            | Frame::AskState
+            | Frame::Record { .. }
+            | Frame::Recorded(_) => {
                 warn!(event = "peer_frame_unexpected", vm = &*self.vm; "closing the connection");
                 link.outbox.close();
                 return;
@@ -353,7 +355,51 @@
 
 /// Requests the configuration and the VM entries of another daemon; returns whether they arrived.
 pub async fn request_state(daemon: &Rc<Daemon>, address: SocketAddr) -> bool {
-    let request = async {
+    let state = request(
+        daemon,
+        address,
+        &Frame::AskState,
+        |frame, body| match frame {
+            Frame::State { entries, revision } => Some((entries, revision, body)),
+            _ => None,
+        },
+    );
+    let Some((entries, revision, body)) = state.await else {
+        return false;
+    };
+    daemon.merge_state(&entries, revision, &body);
+    true
+}
+
+/// Tells another daemon the state of the local endpoint and applies the newest one that it knows;
+/// returns whether it replied.
+pub async fn exchange_record(daemon: &Rc<Daemon>, address: SocketAddr) -> bool {
+    let record = Frame::Record {
+        vm: daemon.vm.to_string(),
+        entry: daemon.vm_entry(),
+    };
+    let reply = request(daemon, address, &record, |frame, _| match frame {
+        Frame::Recorded(newest) => Some(newest),
+        _ => None,
+    });
+    let Some(newest) = reply.await else {
+        return false;
+    };
+    if let Some(newest) = newest {
+        daemon.apply_record(newest);
+    }
+    true
+}
+
+/// Sends a frame to another daemon over a connection of its own; returns the first of its frames
+/// that `decode` accepts, or `None` if none arrives in time.
+async fn request<T>(
+    daemon: &Rc<Daemon>,
+    address: SocketAddr,
+    frame: &Frame,
+    decode: impl Fn(Frame, Bytes) -> Option<T>,
+) -> Option<T> {
+    let exchange = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let outbox = Outbox::new();
         let hello = Frame::Hello {
@@ -361,23 +407,20 @@
             vm: daemon.vm.to_string(),
         };
         outbox.push(&hello, &[]);
-        outbox.push(&Frame::AskState, &[]);
+        outbox.push(frame, &[]);
         let (mut reader, mut writer) = stream.split();
         let read = read_frames(
             &mut reader,
             || {},
-            |frame, body| match frame {
-                Frame::State { entries, revision } => {
-                    daemon.merge_state(&entries, revision, &body);
-                    ControlFlow::Break(())
-                }
-                _ => ControlFlow::Continue(()),
+            |frame, body| match decode(frame, body) {
+                Some(reply) => ControlFlow::Break(reply),
+                None => ControlFlow::Continue(()),
             },
         );
         tokio::select! {
-            result = read => result.ok(),
+            reply = read => reply.ok(),
             _ = outbox.write_to(&mut writer) => None,
         }
     };
-    matches!(timeout(CONNECT_TIMEOUT * 3, request).await, Ok(Some(())))
+    timeout(CONNECT_TIMEOUT * 3, exchange).await.ok().flatten()
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,7 +18,7 @@
 use crate::daemon::Daemon;
 use crate::discovery::{Discovery, StorePart};
 use crate::settings::Settings;
-use crate::{client, control, inbound, logging};
+use crate::{client, control, discovery, inbound, logging};
 
 /// Timeout of a call to the store: far above the milliseconds that it usually takes, and short
 /// enough for several attempts within the operators' bounds.
@@ -95,11 +95,12 @@
 }
 
 fn spawn_tasks(daemon: &Rc<Daemon>) {
-    let discovery = Rc::new(Discovery::default());
-    spawn_local(Rc::clone(&discovery).follow(Rc::clone(daemon), StorePart::Configuration));
-    spawn_local(Rc::clone(&discovery).follow(Rc::clone(daemon), StorePart::Fleet));
-    spawn_local(Rc::clone(&discovery).keep_entry(Rc::clone(daemon)));
-    spawn_local(discovery.maintain(Rc::clone(daemon)));
+    let tasks = Rc::new(Discovery::default());
+    spawn_local(Rc::clone(&tasks).follow(Rc::clone(daemon), StorePart::Configuration));
+    spawn_local(Rc::clone(&tasks).follow(Rc::clone(daemon), StorePart::Fleet));
+    spawn_local(Rc::clone(&tasks).keep_entry(Rc::clone(daemon)));
+    spawn_local(tasks.maintain(Rc::clone(daemon)));
+    spawn_local(discovery::compare_records(Rc::clone(daemon)));
     let owner = Rc::clone(daemon);
     spawn_local(async move { owner.peers.monitor(&owner).await });
     let owner = Rc::clone(daemon);
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -80,6 +80,15 @@
     Daemon::new(settings, clock, store, Arc::new(AtomicU64::new(0)))
 }
 
+/// Creates the daemon of a VM that other daemons reach at an address, with the clock of the runtime.
+pub(crate) fn daemon_among(vm: &str, peers: SocketAddr, store: Store) -> Rc<Daemon> {
+    let mut settings = Settings::parse(SETTINGS).unwrap();
+    settings.vm = vm.into();
+    settings.listen.peers = peers;
+    let lost_lines = Arc::new(AtomicU64::new(0));
+    Daemon::new(settings, Arc::new(RuntimeClock), store, lost_lines)
+}
+
 /// Creates an announcement of an endpoint of `despacho`.
 pub(crate) fn announcement(
     instance: &str,
