Acknowledge a departure only when something else has recorded it

What callers saw: an endpoint deregistered while the store was away and got its acknowledgement; the daemon was killed before the store came back.

Cause: the acknowledgement was sent as soon as the process had changed its own state. The write of the entry and the notice to other daemons came after it, and only daemons with an open connection were notified.

Fix: the gate stops admitting calls at once, as before. The acknowledgement of a draining heartbeat or a departure is sent when the store has the entry or another daemon has confirmed that it keeps the state; other daemons are asked when the store has not taken the write within 200 ms. After 800 ms without either the answer is 503, and the endpoint repeats its message. A daemon that starts again learns of the departure from the store or from the daemons that it asks.

Weighed: to acknowledge as before and to repeat the notice. That leaves a promise that nobody can keep if the process ends, and an endpoint that gets no acknowledgement is allowed to go on announcing.

Tests: `an_acknowledged_departure_outlasts_a_kill` (12 cases) and `a_departure_is_acknowledged_when_it_is_repeated_after_an_outage`.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -94,6 +94,16 @@
         true
     }
 
+    /// Returns whether two announcements state the same of one instance. A new sequence number alone
+    /// is no change.
+    #[must_use]
+    pub fn same_state(&self, other: &Self) -> bool {
+        self.instance == other.instance
+            && self.started_ms == other.started_ms
+            && self.state == other.state
+            && self.slots == other.slots
+    }
+
     /// Returns whether this announcement, which was recorded earlier and is read again, corrects
     /// another one of the same VM.
     ///
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -13,6 +13,7 @@
 use transport::http1::{Decoder, Message, MessageKind};
 
 use crate::daemon::Daemon;
+use crate::discovery;
 use crate::listener::accept;
 
 /// Path at which the metrics are served.
@@ -24,6 +25,16 @@
 /// Time for which a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time in which a departure must be kept outside this process. The endpoint waits one second for
+/// the response.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time for which the store alone is awaited. It usually takes a write within milliseconds.
+const STORE_GRACE: Duration = Duration::from_millis(200);
+
+/// Time between rounds in which other daemons are told of a departure.
+const TELL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What a listener is for.
 #[derive(Clone, Copy, Debug)]
 pub enum Purpose {
@@ -58,7 +69,10 @@
     let mut buffer = BytesMut::new();
     loop {
         let (last, (status, body)) = match decoder.take(&mut buffer) {
-            Ok(Some(message)) => (message.head.close, respond(&daemon, purpose, &message)),
+            Ok(Some(message)) => (
+                message.head.close,
+                respond(&daemon, purpose, &message).await,
+            ),
             Ok(None) => {
                 let read = timeout(IDLE_TIMEOUT, stream.read_buf(&mut buffer)).await;
                 if !matches!(read, Ok(Ok(count)) if count > 0) {
@@ -87,7 +101,7 @@
 }
 
 /// Handles a request; returns the status and the body of the response.
-fn respond(daemon: &Rc<Daemon>, purpose: Purpose, message: &Message) -> (u16, Vec<u8>) {
+async fn respond(daemon: &Rc<Daemon>, purpose: Purpose, message: &Message) -> (u16, Vec<u8>) {
     match purpose {
         Purpose::Ready if message.head.target() == adapter::READY_PATH => {
             (if daemon.is_ready() { 200 } else { 503 }, Vec::new())
@@ -98,7 +112,11 @@
         }
         Purpose::Control => match announcement::decode(message) {
             Ok(decoded) => {
+                let leaves = decoded.leaves();
                 apply_endpoint_message(daemon, decoded);
+                if leaves && !wait_for_record(daemon).await {
+                    return (503, Vec::new());
+                }
                 (200, ACKNOWLEDGEMENT.to_vec())
             }
             Err(error) => {
@@ -136,3 +154,30 @@
         daemon.publish_endpoint();
     }
 }
+
+/// Waits until the state of the endpoint is kept outside this process; returns whether it is.
+///
+/// An acknowledged departure binds the daemon also after it has been killed and started again, so it
+/// is acknowledged only if its next process learns of it. The gate refuses calls meanwhile.
+async fn wait_for_record(daemon: &Rc<Daemon>) -> bool {
+    let tell_others = async {
+        tokio::time::sleep(STORE_GRACE).await;
+        while !daemon.is_recorded() {
+            discovery::exchange_records(daemon).await;
+            tokio::time::sleep(TELL_INTERVAL).await;
+        }
+    };
+    let kept = async {
+        tokio::select! {
+            () = daemon.wait_for_record() => {}
+            () = tell_others => {}
+        }
+    };
+    if timeout(RECORD_TIMEOUT, kept).await.is_ok() {
+        return true;
+    }
+    let known = daemon.gate.announcement();
+    let instance = known.as_ref().map_or("", |known| &*known.instance);
+    warn!(event = "departure_unrecorded", instance = instance; "neither the store nor another daemon has kept it; not acknowledging it");
+    false
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -83,6 +83,11 @@
     pub store: Store,
     /// Wakes the task that keeps the entry of this VM.
     pub entry_changed: Notify,
+    /// Last announcement of the local endpoint that is known to be kept outside this process, in
+    /// the store or by another daemon.
+    recorded: RefCell<Option<Announcement>>,
+    /// Wakes those who wait for a record.
+    record_kept: Notify,
     active: RefCell<Option<ActiveConfiguration>>,
     /// When the shutdown began.
     stopping: Cell<Option<Instant>>,
@@ -122,6 +127,8 @@
             log_limiter: LogLimiter::default(),
             store,
             entry_changed: Notify::new(),
+            recorded: RefCell::new(None),
+            record_kept: Notify::new(),
             active: RefCell::new(None),
             stopping: Cell::new(None),
             closing: Cell::new(false),
@@ -208,6 +215,34 @@
         }
     }
 
+    /// Notes that an announcement of the local endpoint is kept outside this process.
+    pub fn note_record(&self, kept: &Announcement) {
+        *self.recorded.borrow_mut() = Some(kept.clone());
+        self.record_kept.notify_waiters();
+    }
+
+    /// Whether the present state of the local endpoint is kept outside this process, so that the
+    /// next process of this daemon learns of it.
+    #[must_use]
+    pub fn is_recorded(&self) -> bool {
+        let recorded = self.recorded.borrow();
+        let known = self.gate.announcement();
+        known
+            .zip(recorded.as_ref())
+            .is_some_and(|(known, kept)| known.same_state(kept))
+    }
+
+    /// Waits until the present state of the local endpoint is kept outside this process.
+    pub async fn wait_for_record(&self) {
+        loop {
+            let kept = self.record_kept.notified();
+            if self.is_recorded() {
+                return;
+            }
+            kept.await;
+        }
+    }
+
     /// Keeps what another daemon says of its own endpoint; returns the newest announcement that is
     /// known of it.
     pub fn keep_record(&self, vm: &str, entry: Option<VmEntry>) -> Option<Announcement> {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -406,12 +406,13 @@
             self.up_to_date.set(false);
             daemon.publish_endpoint();
         }
-        if daemon
-            .vm_entry()
-            .is_some_and(|own| !same_state(&own, entry))
-        {
-            self.up_to_date.set(false);
-            self.write_needed.notify_one();
+        match daemon.vm_entry() {
+            Some(own) if same_state(&own, entry) => daemon.note_record(&entry.endpoint),
+            Some(_) => {
+                self.up_to_date.set(false);
+                self.write_needed.notify_one();
+            }
+            None => {}
         }
     }
 
@@ -552,6 +553,7 @@
             WriteOutcome::Done(revision) => {
                 let position = Position::new(daemon.store.era(), revision);
                 self.own_position.set(Some(position));
+                daemon.note_record(&entry.endpoint);
                 let same = daemon
                     .vm_entry()
                     .is_some_and(|own| same_state(&own, &entry));
@@ -676,15 +678,9 @@
     newer.unwrap_or(&entry.endpoint).clone()
 }
 
-/// Whether two entries of a VM have the same content. A new sequence number of the heartbeat alone
-/// is no change.
+/// Whether two entries of a VM have the same content.
 fn same_state(a: &VmEntry, b: &VmEntry) -> bool {
-    let (x, y) = (&a.endpoint, &b.endpoint);
-    a.peer == b.peer
-        && x.instance == y.instance
-        && x.started_ms == y.started_ms
-        && x.state == y.state
-        && x.slots == y.slots
+    a.peer == b.peer && a.endpoint.same_state(&b.endpoint)
 }
 
 /// Compares the state of the local endpoint with what other daemons know of it, until some of them
@@ -702,7 +698,7 @@
 
 /// Tells some other daemons the state of the local endpoint and applies newer ones that they know;
 /// returns how many replied.
-async fn exchange_records(daemon: &Rc<Daemon>) -> usize {
+pub async fn exchange_records(daemon: &Rc<Daemon>) -> usize {
     let mut addresses = other_daemons(daemon);
     let count = RECORD_REPLIES.min(addresses.len());
     let (chosen, _) = addresses.partial_shuffle(&mut *daemon.rng.borrow_mut(), count);
--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -11,11 +11,12 @@
 use policy::position::Position;
 use rstest::rstest;
 use soak::net::{self, TaskGroup};
-use soak::store::Store;
+use soak::store::{Fault, Store};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
 use super::{Discovery, StorePart, VM_PREFIX, compare_records};
+use crate::control::{self, Purpose};
 use crate::daemon::Daemon;
 use crate::inbound;
 use crate::testing::{announcement, daemon_among, daemon_with_clock};
@@ -24,6 +25,9 @@
 /// for a drain, which is 2 s.
 const BOUND: Duration = Duration::from_secs(1);
 
+/// Time for which an endpoint waits for an acknowledgement.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+
 fn start_store() -> (Rc<Store>, SocketAddr) {
     let store = Rc::new(Store::default());
     // A daemon without a configuration asks others for all that they know.
@@ -42,6 +46,8 @@
 /// A daemon with the tasks that matter here.
 struct Process {
     daemon: Rc<Daemon>,
+    /// Where its endpoint announces its state.
+    control: SocketAddr,
     tasks: TaskGroup,
 }
 
@@ -52,13 +58,27 @@
         let discovery = Rc::new(Discovery::default());
         let tasks = TaskGroup::default();
         tasks.spawn(inbound::listen(Rc::clone(&daemon), listener));
+        let listener = net::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let control = listener.local_addr().unwrap();
+        let owner = Rc::clone(&daemon);
+        tasks.spawn(control::listen(owner, listener, Purpose::Control));
         for part in [StorePart::Configuration, StorePart::Fleet] {
             tasks.spawn(Rc::clone(&discovery).follow(Rc::clone(&daemon), part));
         }
         tasks.spawn(Rc::clone(&discovery).keep_entry(Rc::clone(&daemon)));
         tasks.spawn(discovery.maintain(Rc::clone(&daemon)));
         tasks.spawn(compare_records(Rc::clone(&daemon)));
-        Self { daemon, tasks }
+        Self {
+            daemon,
+            control,
+            tasks,
+        }
+    }
+
+    /// Sends an announcement of the endpoint; returns whether it is acknowledged in time.
+    async fn announce(&self, message: &[u8]) -> bool {
+        let response = net::exchange(self.control, message, ACKNOWLEDGEMENT_TIMEOUT).await;
+        response.is_some_and(|response| response.head.status == 200)
     }
 
     fn kill(self) {
@@ -177,3 +197,80 @@
         })
         .await;
 }
+
+/// The messages with which an endpoint leaves.
+fn departures() -> [Vec<u8>; 2] {
+    let draining = announcement("i-1", 1, 9, State::Draining);
+    [
+        standin::encode_heartbeat(&draining),
+        standin::encode_departure("i-1", 1),
+    ]
+}
+
+/// Guards against a departure that is acknowledged before anything outside the process has it: a
+/// daemon that is killed then cannot know of it when it is started again.
+#[rstest]
+#[case::the_store_takes_it(None, false, true)]
+#[case::the_store_is_slow(Some(Fault::Slow(Duration::from_millis(150))), false, true)]
+#[case::another_daemon_keeps_it(Some(Fault::Down), true, true)]
+#[case::the_store_is_silent_and_another_daemon_keeps_it(Some(Fault::Silent), true, true)]
+#[case::nobody_keeps_it(Some(Fault::Down), false, false)]
+#[case::nobody_answers(Some(Fault::Silent), false, false)]
+#[tokio::test]
+async fn an_acknowledged_departure_outlasts_a_kill(
+    #[case] fault: Option<Fault>,
+    #[case] with_other: bool,
+    #[case] acknowledged: bool,
+    #[values(0, 1)] message: usize,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, address) = start_store();
+            let mut others = Vec::new();
+            if with_other {
+                others.push(start_other(address).await);
+            }
+            let first = Process::start("vm-1", address);
+            announce_ready(&first.daemon, 1);
+            sleep(BOUND).await;
+            store.set_fault(0, fault);
+            let departure = &departures()[message];
+            assert_eq!(first.announce(departure).await, acknowledged);
+            // The gate follows the departure in any case.
+            assert_ne!(known_state(&first.daemon), Some(State::Ready));
+            first.kill();
+            store.set_fault(0, None);
+            let second = Process::start("vm-1", address);
+            sleep(BOUND).await;
+            announce_ready(&second.daemon, 8);
+            sleep(BOUND).await;
+            if acknowledged {
+                assert_ne!(known_state(&second.daemon), Some(State::Ready));
+                assert_ne!(stored_state(&store), Some(State::Ready));
+            }
+        })
+        .await;
+}
+
+/// Guards against an endpoint that is never acknowledged because its first message came while
+/// nothing outside the process could keep it.
+#[tokio::test]
+async fn a_departure_is_acknowledged_when_it_is_repeated_after_an_outage() {
+    LocalSet::new()
+        .run_until(async {
+            let (store, address) = start_store();
+            let process = Process::start("vm-1", address);
+            announce_ready(&process.daemon, 1);
+            sleep(BOUND).await;
+            store.set_fault(0, Some(Fault::Down));
+            let [draining, departure] = departures();
+            assert!(!process.announce(&draining).await);
+            store.set_fault(0, None);
+            sleep(BOUND).await;
+            assert!(process.announce(&draining).await);
+            assert!(process.announce(&departure).await);
+            assert!(process.announce(&departure).await);
+            assert_eq!(stored_state(&store), Some(State::Gone));
+        })
+        .await;
+}
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -386,6 +386,7 @@
         return false;
     };
     if let Some(newest) = newest {
+        daemon.note_record(&newest);
         daemon.apply_record(newest);
     }
     true
