Believe a refusal of the endpoint only where it can be the call's own

Cause: a response is matched by its id. That left two ways for an earlier refusal that an endpoint writes once more to end a call. A refusal without an id was believed on a fresh connection even after a response to another request. And a call that came back to the endpoint under the same id could get the connection on which it had been refused, where a copy of that refusal matches. The entry itself sends a call to a gate only once, so the second way needs a client that uses an id again.

Fix: a response without an id counts only as the first one on a fresh connection. A connection remembers the calls that were refused on it and is not used for them again; it is closed after 64 refusals, so that the list stays short.

Tests: `a_call_that_was_refused_comes_back_on_another_connection` and `a_refusal_without_an_id_after_a_stray_response_is_not_believed` failed before. `an_earlier_refusal_that_is_repeated_does_not_end_the_next_call` (six cases) passed before: a repeated refusal with the id of another call is skipped, one without an id ends the call as unknown.

--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use adapter::response::{self, Response};
+use adapter::response::{self, Response, RunStatus};
 use bytes::{Bytes, BytesMut};
 use policy::clock::Clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -52,6 +52,9 @@
 /// Responses to other requests that are skipped before the connection is closed.
 const MAX_STRAY_RESPONSES: usize = 2;
 
+/// Refused calls on one connection after which it is closed, since their ids must be remembered.
+const MAX_REFUSED_CALLS: usize = 64;
+
 /// Idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
@@ -75,9 +78,20 @@
     pub idempotent: bool,
 }
 
+/// An open connection.
 #[derive(Debug)]
-struct Idle {
+struct Connection {
     stream: TcpStream,
+    /// Whether it has carried a request before.
+    reused: bool,
+    /// Ids of the calls that the endpoint refused on it. A faulty endpoint may write a refusal once
+    /// more, which would end the same call if it came back on this connection.
+    refused: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
     since: Instant,
     keep_alive: Duration,
 }
@@ -133,13 +147,14 @@
         outgoing: &Outgoing<'_>,
         encode: impl FnOnce() -> Result<Vec<u8>, NotRun>,
     ) -> Exchange {
-        let Some((mut stream, reused)) = self.connection(clock, outgoing.idempotent).await else {
+        let Some(mut connection) = self.connection(clock, outgoing).await else {
             return Exchange::NotSent(NotRun::Unreachable);
         };
         let bytes = match encode() {
             Ok(bytes) => bytes,
             Err(reason) => {
-                self.keep(clock, stream, DEFAULT_KEEP_ALIVE);
+                connection.reused = true;
+                self.keep(clock, connection, DEFAULT_KEEP_ALIVE);
                 return Exchange::NotSent(reason);
             }
         };
@@ -147,18 +162,26 @@
             total: &self.held_bytes,
             own: 0,
         };
-        let received = transfer(&mut stream, &bytes, outgoing.id, held).await;
+        let received = transfer(&mut connection.stream, &bytes, outgoing.id, held).await;
         match received {
             Err(reason) => Exchange::Failed(reason),
             // Only an id tells a response from a late copy of an earlier one.
-            Ok(received) if reused && !response::has_id(&received.message.head) => {
+            Ok(received)
+                if (connection.reused || received.stray > 0)
+                    && !response::has_id(&received.message.head) =>
+            {
                 Exchange::Failed(Unknown::Damaged)
             }
             Ok(received) => {
                 let response = response::decode(&received.message);
+                if response.run_status != RunStatus::Ran {
+                    connection.refused.push(outgoing.id.to_owned());
+                }
                 if received.reusable && !response.close {
+                    connection.reused = true;
                     let keep_alive = response.keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
-                    self.keep(clock, stream, keep_alive.saturating_sub(KEEP_ALIVE_MARGIN));
+                    let keep_alive = keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
+                    self.keep(clock, connection, keep_alive);
                 }
                 Exchange::Answered(response, received.message.body)
             }
@@ -171,44 +194,58 @@
     }
 
     /// Keeps an idle connection for reuse.
-    fn keep(&self, clock: &dyn Clock, stream: TcpStream, keep_alive: Duration) {
+    fn keep(&self, clock: &dyn Clock, connection: Connection, keep_alive: Duration) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS && !keep_alive.is_zero() {
+        if idle.len() < MAX_IDLE_CONNECTIONS
+            && connection.refused.len() < MAX_REFUSED_CALLS
+            && !keep_alive.is_zero()
+        {
             idle.push(Idle {
-                stream,
+                connection,
                 since: clock.now(),
                 keep_alive,
             });
         }
     }
 
-    /// Returns an idle connection or opens a new one, and whether it has been used before.
-    async fn connection(&self, clock: &dyn Clock, idempotent: bool) -> Option<(TcpStream, bool)> {
-        if let Some(stream) = self.idle_connection(clock.now(), idempotent) {
-            return Some((stream, true));
+    /// Returns an idle connection or opens a new one.
+    async fn connection(&self, clock: &dyn Clock, outgoing: &Outgoing<'_>) -> Option<Connection> {
+        if let Some(connection) = self.idle_connection(clock.now(), outgoing) {
+            return Some(connection);
         }
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
             .ok()?
             .ok()?;
         transport::socket::tune(&stream).ok()?;
-        Some((stream, false))
+        Some(Connection {
+            stream,
+            reused: false,
+            refused: Vec::new(),
+        })
     }
 
     /// Removes the most recently used connection that is fit for a request.
-    fn idle_connection(&self, now: Instant, idempotent: bool) -> Option<TcpStream> {
+    fn idle_connection(&self, now: Instant, outgoing: &Outgoing<'_>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|kept| now.saturating_duration_since(kept.since) < kept.keep_alive);
         // The endpoint is least likely to have closed the connection that was used last.
-        while let Some(kept) = idle.last() {
-            if !idempotent
+        let mut index = idle.len();
+        while index > 0 {
+            index -= 1;
+            let kept = &idle[index];
+            if !outgoing.idempotent
                 && now.saturating_duration_since(kept.since) >= NON_IDEMPOTENT_IDLE_TIMEOUT
             {
                 return None;
             }
-            let kept = idle.pop()?;
-            if is_silent(&kept.stream) {
-                return Some(kept.stream);
+            let refused = &kept.connection.refused;
+            if refused.iter().any(|id| id == outgoing.id) {
+                continue;
+            }
+            let kept = idle.remove(index);
+            if is_silent(&kept.connection.stream) {
+                return Some(kept.connection);
             }
         }
         None
@@ -223,6 +260,8 @@
 
 struct Received {
     message: Message,
+    /// Responses to other requests that came before it.
+    stray: usize,
     /// Whether the connection carried nothing but the request and its response.
     reusable: bool,
 }
@@ -278,7 +317,11 @@
             }
             if response::matches_request(&message.head, id) {
                 let reusable = buffer.is_empty() && stray == 0;
-                return Ok(Received { message, reusable });
+                return Ok(Received {
+                    message,
+                    stray,
+                    reusable,
+                });
             }
             stray += 1;
             if stray > MAX_STRAY_RESPONSES {
@@ -295,6 +338,7 @@
                 return if complete && response::matches_request(&message.head, id) {
                     Ok(Received {
                         message,
+                        stray,
                         reusable: false,
                     })
                 } else {
--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use adapter::request::{self, ForwardedRequest};
+use adapter::response::RunStatus;
 use policy::clock::SystemClock;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -194,3 +195,110 @@
         })
         .await;
 }
+
+/// Returns the endpoint's own refusal of the request with an id.
+fn refusal_of(id: &str) -> String {
+    let (status, rest) = REFUSAL.split_once("\r\n").unwrap();
+    let (_, response) = RESPONSE.split_once("\r\n").unwrap();
+    let field = response.split_once("\r\n").unwrap().0.replace("ID", id);
+    format!("{status}\r\n{field}\r\n{rest}")
+}
+
+/// Reads one request on each step of an open connection and writes the next bytes.
+async fn respond(listener: &TcpListener, steps: &[String]) -> TcpStream {
+    let mut stream = accept(listener).await;
+    for (index, step) in steps.iter().enumerate() {
+        if index > 0 {
+            read_request(&mut stream).await;
+        }
+        stream.write_all(step.as_bytes()).await.unwrap();
+    }
+    stream
+}
+
+/// Guards against a caller that is told that its call has not run because the endpoint wrote an
+/// earlier refusal once more, while it runs the call.
+#[rstest]
+#[case::the_response_follows(&refusal_of("a"), true)]
+#[case::no_response_follows(&refusal_of("a"), false)]
+#[case::without_an_id(REFUSAL, false)]
+#[case::without_an_id_and_the_response_follows(REFUSAL, true)]
+#[case::twice(&refusal_of("a").repeat(2), false)]
+#[case::then_without_an_id(&(refusal_of("a") + REFUSAL), false)]
+#[tokio::test]
+async fn an_earlier_refusal_that_is_repeated_does_not_end_the_next_call(
+    #[case] repeated: &str,
+    #[case] followed: bool,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let mut second = repeated.to_owned();
+            if followed {
+                second += &RESPONSE.replace("ID", "b");
+            }
+            let steps = [refusal_of("a"), second];
+            let endpoint = async { drop(respond(&listener, &steps).await) };
+            let calls = async {
+                let first = exchange(&pool, "a").await;
+                assert!(is_not_run(&first), "{first:?}");
+                exchange(&pool, "b").await
+            };
+            let ((), second) = tokio::join!(endpoint, calls);
+            assert!(!is_not_run(&second), "{second:?}");
+            if followed && repeated != REFUSAL {
+                assert!(matches!(second, Exchange::Answered(..)), "{second:?}");
+            }
+            assert!(pool.idle.borrow().is_empty());
+        })
+        .await;
+}
+
+/// Guards against a repeated refusal that ends the same call when it comes back to the endpoint: its
+/// id is that of the call.
+#[tokio::test]
+async fn a_call_that_was_refused_comes_back_on_another_connection() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let refused = [refusal_of("a")];
+            let answered = [RESPONSE.replace("ID", "a")];
+            let endpoint = async {
+                let mut first = respond(&listener, &refused).await;
+                let second = respond(&listener, &answered).await;
+                first.write_all(refusal_of("a").as_bytes()).await.unwrap();
+                (first, second)
+            };
+            let calls = async {
+                let first = exchange(&pool, "a").await;
+                assert!(is_not_run(&first), "{first:?}");
+                exchange(&pool, "a").await
+            };
+            let both = timeout(BOUND, async { tokio::join!(endpoint, calls) });
+            let (_streams, second) = both.await.expect("a second connection is opened");
+            assert!(matches!(second, Exchange::Answered(..)), "{second:?}");
+        })
+        .await;
+}
+
+/// Guards against a refusal without an id that ends a call on a fresh connection after a response to
+/// another request, which shows that the endpoint is confused.
+#[tokio::test]
+async fn a_refusal_without_an_id_after_a_stray_response_is_not_believed() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let steps = [refusal_of("b") + REFUSAL];
+            let endpoint = async { drop(respond(&listener, &steps).await) };
+            let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
+            assert!(matches!(outcome, Exchange::Failed(_)), "{outcome:?}");
+        })
+        .await;
+}
+
+fn is_not_run(exchange: &Exchange) -> bool {
+    matches!(exchange, Exchange::Answered(response, _) if response.run_status == RunStatus::NotRun)
+}
