Test that a response which stops early is never passed on as complete

It cannot happen here: `http1::Decoder::handle_close` completes only a body that ends with the connection, and `sidecar::endpoint` takes a response from the decoder only then. The tests cut a response with a length, in chunks and after an interim response at every byte, on fresh and on reused connections, and one without a length within its head and by a reset. All passed before. With the check switched off (any message completed by a close), the six cases of `a_response_that_stops_early_is_not_complete` fail.

--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -302,3 +302,64 @@
 fn is_not_run(exchange: &Exchange) -> bool {
     matches!(exchange, Exchange::Answered(response, _) if response.run_status == RunStatus::NotRun)
 }
+
+/// Guards against a response that is passed on as complete although the endpoint stopped within its
+/// head or its body and closed the connection.
+#[rstest]
+#[case::with_a_length(RESPONSE.replace("ID", "a"))]
+#[case::in_chunks(head("Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n")]
+#[case::after_an_interim_response(
+    "HTTP/1.1 102 Processing\r\n\r\n".to_owned() + &RESPONSE.replace("ID", "a")
+)]
+#[tokio::test]
+async fn a_response_that_stops_early_is_not_complete(
+    #[case] response: String,
+    #[values(false, true)] reused: bool,
+) {
+    LocalSet::new()
+        .run_until(async {
+            for end in 0..response.len() {
+                let (listener, address) = listener().await;
+                let pool = Pool::new(address);
+                let mut steps = vec![response[..end].to_owned()];
+                if reused {
+                    steps.insert(0, RESPONSE.replace("ID", "z"));
+                }
+                let endpoint = async { drop(respond(&listener, &steps).await) };
+                let calls = async {
+                    if reused {
+                        exchange(&pool, "z").await;
+                    }
+                    exchange(&pool, "a").await
+                };
+                let ((), outcome) = tokio::join!(endpoint, calls);
+                assert!(matches!(outcome, Exchange::Failed(_)), "{end}: {outcome:?}");
+            }
+        })
+        .await;
+}
+
+/// Guards against a response without a length that is passed on as complete although its head
+/// stopped early or its connection was reset.
+#[tokio::test]
+async fn a_response_without_a_length_needs_its_whole_head_and_an_orderly_close() {
+    LocalSet::new()
+        .run_until(async {
+            let head = head("");
+            for end in [0, 12, head.len() - 2, head.len() - 1] {
+                let (listener, address) = listener().await;
+                let pool = Pool::new(address);
+                let steps = [head[..end].to_owned()];
+                let endpoint = async { drop(respond(&listener, &steps).await) };
+                let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
+                assert!(matches!(outcome, Exchange::Failed(_)), "{end}: {outcome:?}");
+            }
+            let (listener, address) = listener().await;
+            let pool = Pool::new(address);
+            let steps = [head + "bo"];
+            let endpoint = async { soak::net::reset(respond(&listener, &steps).await) };
+            let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
+            assert!(matches!(outcome, Exchange::Failed(_)), "{outcome:?}");
+        })
+        .await;
+}
