Leave out an odd item instead of the whole listing

Cause: a listing and a watch were decoded as a whole, so one item with a value of another type, a number out of range, no key or bad base64 made every later listing fail. An entry that could be decoded was believed with any numbers: a start in the far future can never be superseded, so the VM's own heartbeats would have been refused for good.

What cannot happen: no odd entry ends the process. Deeply nested values are refused or skipped without recursion, ports and numbers out of range are decoding errors, and times in entries are not added to clocks.

Fix: items are decoded one by one; those that cannot be are counted, logged (`item_refused`) and left out. The start is compared with a fixed date, not with the clock, which may be wrong on a VM that has just started.

`a_deeply_nested_unknown_field_is_skipped` passed before.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -25,6 +25,14 @@
 /// two seconds after the store has come back.
 pub const MISSING_ENTRY_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Largest number of slots of an endpoint. The largest deployments have a few hundred.
+const MAX_SLOTS: u32 = 1_000_000;
+
+/// Latest start of an instance, in milliseconds since the Unix epoch: the year 2200. A later one
+/// comes from a damaged announcement and could never be superseded. The clock of this VM is no
+/// bound, as it may be wrong by any time.
+const MAX_STARTED_MS: u64 = 7_258_118_400_000;
+
 /// Endpoints that left and are remembered after their VMs have been removed.
 const MAX_DEPARTED: usize = 1_024;
 
@@ -70,6 +78,21 @@
 }
 
 impl Announcement {
+    /// Checks that the numbers are such as an endpoint can state.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is out of range.
+    pub fn check(&self) -> Result<(), &'static str> {
+        if self.slots > MAX_SLOTS {
+            return Err("the number of slots is out of range");
+        }
+        if self.started_ms > MAX_STARTED_MS {
+            return Err("the start is out of range");
+        }
+        Ok(())
+    }
+
     /// Returns whether this announcement supersedes another one of the same VM.
     ///
     /// Within one instance and start, an announcement that the instance leaves or is gone
@@ -130,6 +153,20 @@
     pub endpoint: Announcement,
 }
 
+impl VmEntry {
+    /// Checks an entry that may come from another writer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is out of range.
+    pub fn check(&self) -> Result<(), &'static str> {
+        if self.peer.port() == 0 {
+            return Err("the port of the daemon is out of range");
+        }
+        self.endpoint.check()
+    }
+}
+
 #[derive(Debug)]
 struct Member {
     entry: VmEntry,
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -168,11 +168,13 @@
                 events: Vec::new(),
                 revision: after.revision,
                 era: daemon.store.era(),
+                odd: 0,
             },
         };
         if changes.era != after.era {
             return Err(StoreError::Compacted);
         }
+        log_odd_items(daemon, prefix, changes.odd);
         Ok(changes)
     }
 
@@ -252,6 +254,7 @@
         freshness: Freshness,
     ) -> Result<Position, StoreError> {
         let listing = daemon.store.list(CONFIGURATION_PREFIX, freshness).await?;
+        log_odd_items(daemon, CONFIGURATION_PREFIX, listing.odd);
         for item in listing.items {
             if item.key == CONFIGURATION_KEY {
                 daemon.apply_configuration(Bytes::from(item.value), item.revision);
@@ -286,6 +289,7 @@
         freshness: Freshness,
     ) -> Result<Position, StoreError> {
         let listing = daemon.store.list(VM_PREFIX, freshness).await?;
+        log_odd_items(daemon, VM_PREFIX, listing.odd);
         let mut vms = Vec::with_capacity(listing.items.len() + 1);
         let mut own_lease = None;
         for item in listing.items {
@@ -354,7 +358,12 @@
         position: Position,
     ) -> Option<VmId> {
         let vm = key.strip_prefix(VM_PREFIX)?;
-        let entry: VmEntry = match serde_json::from_slice(value) {
+        let decoded = serde_json::from_slice(value).map_err(|error| error.to_string());
+        let checked = decoded.and_then(|entry: VmEntry| {
+            entry.check().map_err(ToOwned::to_owned)?;
+            Ok(entry)
+        });
+        let entry = match checked {
             Ok(entry) => entry,
             Err(error) => {
                 if daemon
@@ -613,6 +622,17 @@
     }
 }
 
+/// Logs that items under a prefix cannot be decoded and are ignored.
+fn log_odd_items(daemon: &Daemon, prefix: &str, count: usize) {
+    if count > 0
+        && daemon
+            .log_limiter
+            .allows(daemon.clock.now(), "item_refused")
+    {
+        warn!(event = "item_refused", prefix = prefix, count = count; "another writer spoilt them; ignoring them");
+    }
+}
+
 /// Returns a random number from 0 to 1.
 fn random(daemon: &Daemon) -> f64 {
     daemon.rng.borrow_mut().random()
--- a/crates/sidecar/src/discovery/tests.rs
+++ b/crates/sidecar/src/discovery/tests.rs
@@ -306,3 +306,78 @@
         })
         .await;
 }
+
+/// Returns a store entry as text.
+fn entry_text(vm: &str, endpoint: Announcement) -> String {
+    let entry = VmEntry {
+        vm: vm.into(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        data_centre: "madrid".into(),
+        endpoint,
+    };
+    serde_json::to_string(&entry).unwrap()
+}
+
+/// Guards against an entry of another writer that ends the process or the task that reads it, hides
+/// the other entries, or can never be replaced.
+#[rstest]
+#[case::deeply_nested("\"despacho\"", &("[".repeat(100_000) + &"]".repeat(100_000)))]
+#[case::port_out_of_range("127.0.0.1:2", "127.0.0.1:65536")]
+#[case::no_port("127.0.0.1:2", "127.0.0.1:0")]
+#[case::slots_too_many("\"slots\":1", "\"slots\":4294967295")]
+#[case::slots_out_of_range("\"slots\":1", "\"slots\":1e999")]
+#[case::start_too_late("\"born\":9", "\"born\":18446744073709551615")]
+#[case::start_out_of_range("\"born\":9", "\"born\":99999999999999999999")]
+#[case::time_out_of_range(
+    "\"secs\":0,\"nanos\":0",
+    "\"secs\":18446744073709551615,\"nanos\":4294967295"
+)]
+#[tokio::test]
+async fn an_odd_entry_is_ignored_and_the_others_hold(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[values("vm-1", "vm-2")] vm: &str,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _) = daemon();
+            let discovery = Discovery::default();
+            let known = announcement("i-1", 1, 1, State::Ready);
+            daemon.gate.apply_announcement(&daemon, known.clone());
+            let good = entry_text(vm, announcement("i-9", 9, 1, State::Gone));
+            let odd = good.replacen(old, new, 1);
+            assert_ne!(odd, good);
+            let mut position = Position::new(0, 5);
+            let mut apply = |vm: &str, text: &str| {
+                position.revision += 1;
+                let key = format!("{VM_PREFIX}{vm}");
+                discovery.apply_entry(&daemon, &key, text.as_bytes(), position)
+            };
+            assert_eq!(apply(vm, &odd), None);
+            let other = entry_text("vm-3", announcement("i-3", 1, 1, State::Ready));
+            assert!(apply("vm-3", &other).is_some());
+            assert_eq!(daemon.gate.announcement(), Some(known));
+            assert!(daemon.fleet.borrow().get("vm-2").is_none());
+            assert_eq!(daemon.fleet.borrow().ready("despacho").len(), 1);
+            // A sound entry takes the place of the odd one.
+            assert!(apply(vm, &good).is_some());
+            let fleet = daemon.fleet.borrow();
+            let state = fleet.get(vm).map(|entry| entry.endpoint.state);
+            assert_eq!(state, Some(State::Gone));
+        })
+        .await;
+}
+
+/// Guards against a field of a later release whose nesting ends the process.
+#[test]
+fn a_deeply_nested_unknown_field_is_skipped() {
+    let (daemon, _) = daemon();
+    let depth = 100_000;
+    let nested = format!("{}1{}", "{\"a\":".repeat(depth), "}".repeat(depth));
+    let entry = entry_text("vm-2", announcement("i-2", 1, 1, State::Ready));
+    let entry = entry.replacen("\"vm\"", &format!("\"x\":{nested},\"vm\""), 1);
+    let key = format!("{VM_PREFIX}vm-2");
+    let discovery = Discovery::default();
+    let applied = discovery.apply_entry(&daemon, &key, entry.as_bytes(), Position::new(0, 5));
+    assert!(applied.is_some());
+}
