Do not let a very large rank become the most urgent one

The gate doubles a rank to place nested calls before others. A rank of 2^31 became 0 in a release build, the most urgent rank, and ended the task in a build with overflow checks. The sum saturates now.

Test: `the_largest_rank_is_the_least_urgent_one`. It was written with the fix; before the fix it cannot pass, as the multiplication overflows.

--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -487,7 +487,8 @@
         let min_time = self.progress.borrow().lower_bound(&job.call.kind.route);
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
-            rank: job.call.kind.rank * 2 + u32::from(!job.call.kind.nested),
+            rank: (job.call.kind.rank.saturating_mul(2))
+                .saturating_add(u32::from(!job.call.kind.nested)),
             remaining: queue_remaining(&job.call),
             deadline: job.deadline.at,
             min_time: min_time.max(MIN_RESPONSE_TIME),
--- a/crates/sidecar/src/gate/tests.rs
+++ b/crates/sidecar/src/gate/tests.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use policy::clock::Clock;
 use policy::fleet::State;
 use policy::retry::RetryBound;
 use rstest::rstest;
@@ -239,3 +240,26 @@
         })
         .await;
 }
+
+/// Guards against a very large rank that counts as the most urgent one after an overflow.
+#[tokio::test]
+async fn the_largest_rank_is_the_least_urgent_one() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, clock) = daemon();
+            announce(&daemon, "i-1", 1, State::Ready);
+            let _running = submit(&daemon, "i-1");
+            let mut waiting = Vec::new();
+            for rank in [1 << 31, u32::MAX, 1] {
+                let (mut job, receiver) = job(&daemon, "a", "i-1");
+                job.call.kind.rank = rank;
+                daemon.gate.submit(&daemon, job);
+                waiting.push(receiver);
+            }
+            let mut queue = daemon.gate.queue.borrow_mut();
+            queue.finish(Duration::from_millis(1));
+            let (_, next) = queue.start_next(clock.now()).unwrap();
+            assert_eq!(next.call.kind.rank, 1);
+        })
+        .await;
+}
