Wait for responses to be written before a stopping daemon exits

Cause: a request counted as open until its response was known, not until it was written, and the stop waits for open requests only.

Evidence: `open_calls` is 0 in the new test while 12 MB wait for a client that does not read.

Fix: the count belongs to the connection of the client and is given back when the response has been written or the client has gone.

Test: `a_response_that_is_being_written_is_an_open_call` failed before (0 instead of 1).

--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -21,7 +21,7 @@
 use tokio::time::timeout;
 use transport::http1::{DecodeError, Decoder, Message, MessageKind};
 
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, OpenRequest};
 use crate::forward::{self, Response};
 use crate::listener::accept;
 
@@ -62,6 +62,8 @@
     id: Option<String>,
     /// The response, or the status with which an invalid request is rejected.
     response: Result<Response, u16>,
+    /// Keeps a stopping daemon from exiting before the response is written.
+    open: OpenRequest,
 }
 
 type Pending = FuturesOrdered<LocalBoxFuture<'static, Served>>;
@@ -195,6 +197,7 @@
             let served = Served {
                 id: None,
                 response: Err(408),
+                open: OpenRequest::new(Rc::clone(&self.daemon)),
             };
             self.last = true;
             return self.write(served, writer).await.is_some();
@@ -215,7 +218,11 @@
                 Err(malformed) => {
                     self.last = true;
                     let response = Err(status(malformed));
-                    let served = Served { id: None, response };
+                    let served = Served {
+                        id: None,
+                        response,
+                        open: OpenRequest::new(Rc::clone(&self.daemon)),
+                    };
                     self.pending.push_back(async { served }.boxed_local());
                 }
             }
@@ -237,12 +244,13 @@
     fn start(&mut self, message: Message) {
         self.waiting_since = self.daemon.clock.now();
         let daemon = Rc::clone(&self.daemon);
+        let open = OpenRequest::new(Rc::clone(&daemon));
         let serve = async move {
             match request::decode(&message) {
                 Ok(request) => {
                     let id = Some(request.id.clone());
                     let response = Ok(forward::serve(&daemon, request).await);
-                    Served { id, response }
+                    Served { id, response, open }
                 }
                 Err(invalid) => {
                     if daemon
@@ -254,6 +262,7 @@
                     Served {
                         id: None,
                         response: Err(400),
+                        open,
                     }
                 }
             }
@@ -266,11 +275,14 @@
     async fn write(&mut self, served: Served, writer: &mut WriteHalf<'_>) -> Option<bool> {
         let mut bytes = Vec::with_capacity(1_024);
         let mut closes = self.encode(&served, &mut bytes);
+        // Only the counts are kept while the bytes are written; the bodies have been copied.
+        let mut open = vec![served.open];
         while !closes {
             let Some(Some(next)) = self.pending.next().now_or_never() else {
                 break;
             };
             closes = self.encode(&next, &mut bytes);
+            open.push(next.open);
         }
         let written = timeout(WRITE_TIMEOUT, writer.write_all(&bytes)).await;
         self.waiting_since = self.daemon.clock.now();
--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -1,8 +1,8 @@
 //! Guards against pipelined requests that wait for each other, responses in the wrong order, calls
 //! that go on for disconnected clients, timeouts that are exceeded, calls that are refused as not
 //! run although they may have run, responses to other requests that are passed on, and connections
-//! that a stopping daemon leaves open, and clients that hold a connection by sending a head or empty
-//! lines without end.
+//! that a stopping daemon leaves open, clients that hold a connection by sending a head or empty
+//! lines without end, and responses that are cut off while their clients read slowly.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -222,3 +222,43 @@
         })
         .await;
 }
+
+/// Answers the running call with a body that no buffer of a socket holds; returns its length.
+async fn answer_at_length(call: &mut RunningCall) -> usize {
+    let length = 12_000_000;
+    let response =
+        response("1a").replace("Content-Length: 4", &format!("Content-Length: {length}"));
+    let (head, _) = response.split_once("\r\n\r\n").unwrap();
+    let head = format!("{head}\r\n\r\n");
+    call.endpoint.write_all(head.as_bytes()).await.unwrap();
+    call.endpoint.write_all(&vec![b'x'; length]).await.unwrap();
+    length
+}
+
+/// Reads a response; returns the length of its body.
+async fn read_body(client: &mut TcpStream) -> usize {
+    let mut all = Vec::new();
+    while !all.ends_with(b"x") || all.len() < 12_000_000 {
+        if client.read_buf(&mut all).await.unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    let head = all.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    head.map_or(0, |head| all.len() - head - 4)
+}
+
+/// Guards against a stopping daemon that exits while clients still read their responses (review/4).
+#[tokio::test]
+async fn a_response_that_is_being_written_is_an_open_call() {
+    LocalSet::new()
+        .run_until(async {
+            let mut call = start_call("/read/a").await;
+            let length = answer_at_length(&mut call).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            assert_eq!(call.daemon.open_calls(), 1);
+            assert_eq!(read_body(&mut call.client).await, length);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(call.daemon.open_calls(), 0);
+        })
+        .await;
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -93,11 +93,30 @@
     stopping: Cell<Option<Instant>>,
     /// Whether all further calls are refused, because the process is about to exit.
     closing: Cell<bool>,
-    /// Requests that arrived here and are not answered yet.
-    pub open_requests: Cell<usize>,
+    /// Requests that arrived here and whose responses have not been written.
+    open_requests: Cell<usize>,
     lost_lines: Arc<AtomicU64>,
 }
 
+/// Counts a request of a client, or of the local endpoint, as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenRequest(Rc<Daemon>);
+
+impl OpenRequest {
+    /// Counts a request that has arrived.
+    #[must_use]
+    pub fn new(daemon: Rc<Daemon>) -> Self {
+        daemon.open_requests.set(daemon.open_requests.get() + 1);
+        Self(daemon)
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
 impl Daemon {
     /// Creates the state of a daemon that has not started any task.
     #[must_use]
@@ -415,8 +434,8 @@
         self.subscribers.notify(&self.endpoint_frame());
     }
 
-    /// Returns the number of unanswered requests of clients and of the local endpoint, plus the
-    /// jobs at the gate.
+    /// Returns the number of requests of clients and of the local endpoint whose responses have not
+    /// been written, plus the jobs at the gate.
     #[must_use]
     pub fn open_calls(&self) -> usize {
         self.open_requests.get() + self.gate.active_calls()
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -146,26 +146,9 @@
     }
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest<'a>(&'a Daemon);
-
-impl<'a> OpenRequest<'a> {
-    fn new(daemon: &'a Daemon) -> Self {
-        daemon.open_requests.set(daemon.open_requests.get() + 1);
-        Self(daemon)
-    }
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 /// Serves a request that a client, or the local endpoint, sent to this daemon.
 pub async fn serve(daemon: &Rc<Daemon>, request: Request) -> Response {
     let arrived = daemon.clock.now();
-    let _open = OpenRequest::new(daemon);
     let Some(configuration) = daemon.configuration() else {
         return refuse(daemon, arrived, &request, None, Refusal::Unconfigured);
     };
