Do not reset a client that reads nothing for some seconds

Cause: every connection had `TCP_USER_TIMEOUT` of 2.5 s, meant for connections that fail silently. The option also ends one whose peer has closed its window but answers each probe.

Fix: connections of clients get 30 s; the daemon's own limit of 20 s on writing a response comes first. Connections to endpoints, other daemons and the store keep 2.5 s: those may fail silently, and a call on one of them is to be tried elsewhere within its deadline. So an endpoint that reads nothing of a long request for 2.5 s is still cut off.

--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -34,7 +34,8 @@
 /// Bytes of further requests that are buffered while [`MAX_PIPELINED_REQUESTS`] are being served.
 const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
 
-/// Time within which a client must accept the bytes of its responses.
+/// Time within which a client must accept the bytes of its responses. Connections of clients have no
+/// shorter limit on bytes that they have not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Time for which a connection is still read after its last response, so that unread bytes do not
@@ -69,7 +70,7 @@
 type Pending = FuturesOrdered<LocalBoxFuture<'static, Served>>;
 
 async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream) {
-    if let Err(error) = transport::socket::tune(&stream) {
+    if let Err(error) = transport::socket::tune_client(&stream) {
         warn!(event = "socket_options_refused", error:% = error; "");
         return;
     }
--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -262,3 +262,17 @@
         })
         .await;
 }
+
+/// Guards against a client whose connection is reset in the middle of its response because it has
+/// not read for some seconds (review/5).
+#[tokio::test]
+async fn a_client_that_pauses_gets_its_whole_response() {
+    LocalSet::new()
+        .run_until(async {
+            let mut call = start_call("/read/a").await;
+            let length = answer_at_length(&mut call).await;
+            tokio::time::sleep(Duration::from_millis(3_500)).await;
+            assert_eq!(read_body(&mut call.client).await, length);
+        })
+        .await;
+}
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -22,12 +22,30 @@
 /// retransmissions on a link that loses packets.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Enables keepalive probes, the limit on unacknowledged bytes and `TCP_NODELAY`.
+/// Time for which bytes to a client may stay unacknowledged. The option also counts the time for
+/// which the client does not read, and clients on the same VM do not fail silently.
+const CLIENT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Enables keepalive probes, the limit on unacknowledged bytes and `TCP_NODELAY`, on a connection
+/// that may fail silently.
 ///
 /// # Errors
 ///
 /// Fails if the operating system rejects an option.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    tune_for(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+/// Like [`tune`], on the connection of a client, which may read slowly.
+///
+/// # Errors
+///
+/// Fails if the operating system rejects an option.
+pub fn tune_client(stream: &TcpStream) -> io::Result<()> {
+    tune_for(stream, CLIENT_UNACKNOWLEDGED_TIMEOUT)
+}
+
+fn tune_for(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -35,5 +53,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBE_COUNT);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
