Bound the bytes of the values that a connection remembers

Cause: values that calls share are sent once on a connection and kept on both sides, up to 4,096 of each type with no bound on their size. Header lines of 15 kB, each sent once, took 60 MB a connection and direction.

Fix: values over 2 kB are not remembered, and all values of one type take at most 128 kB on a connection. A full table is emptied on both sides, which the next value states, so that the kinds of calls that are made again and again get their index back. Before, a full table stayed full of values that no call used again.

--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -270,8 +270,10 @@
     New(T),
     /// Index of a value that was sent before.
     Known(u16),
-    /// A new value that gets no index, because the table is full.
+    /// A new value that gets no index, because it is large.
     Once(T),
+    /// A new value that gets the first index. All others are forgotten, because the table was full.
+    First(T),
 }
 
 /// Head of a frame as it is serialized.
@@ -350,50 +352,127 @@
     }
 }
 
-/// Largest number of values of one type that get an index on a connection.
-const MAX_TABLE_VALUES: usize = 4_096;
+/// Largest size of a value that gets an index. A larger one, such as the header fields of a call with
+/// a long cookie, is hardly ever sent again.
+const MAX_INTERNED_BYTES: usize = 2 << 10;
 
-/// Encodes the frames of one connection. It keeps the indices of the values that were sent.
-#[derive(Debug, Default)]
-pub struct Encoder {
-    kinds: HashMap<CallKind, u16>,
-    fields: HashMap<Vec<u8>, u16>,
+/// Largest size of all values of one type that have an index on a connection. A daemon keeps two such
+/// tables for each connection from or to another daemon.
+const MAX_TABLE_BYTES: usize = 128 << 10;
+
+/// Size that counts for a value beside its content, so that empty ones do not fill memory.
+const VALUE_OVERHEAD_BYTES: usize = 64;
+
+impl CallKind {
+    fn size(&self) -> usize {
+        let texts = [&self.instance, &self.caller, &self.route, &self.method];
+        let text: usize = texts.iter().map(|text| text.len()).sum();
+        VALUE_OVERHEAD_BYTES + text + self.fields.len()
+    }
 }
 
-/// Decodes the frames of one connection. It keeps the values that were received, by index.
-#[derive(Debug, Default)]
-pub struct Decoder {
-    kinds: Vec<CallKind>,
-    fields: Vec<Vec<u8>>,
+/// Values that were sent on a connection, with their indices.
+#[derive(Debug)]
+struct SentValues<T> {
+    indices: HashMap<T, u16>,
+    bytes: usize,
 }
 
-/// Replaces a value by its index if it was sent before.
-fn intern<T: Clone + Eq + Hash>(known: &mut HashMap<T, u16>, value: &T) -> Interned<T> {
-    if let Some(index) = known.get(value) {
-        return Interned::Known(*index);
+/// Values that were received on a connection, by index.
+#[derive(Debug)]
+struct ReceivedValues<T> {
+    values: Vec<T>,
+    bytes: usize,
+}
+
+impl<T> Default for SentValues<T> {
+    fn default() -> Self {
+        Self {
+            indices: HashMap::new(),
+            bytes: 0,
+        }
     }
-    if known.len() >= MAX_TABLE_VALUES {
-        return Interned::Once(value.clone());
+}
+
+impl<T> Default for ReceivedValues<T> {
+    fn default() -> Self {
+        Self {
+            values: Vec::new(),
+            bytes: 0,
+        }
     }
-    known.insert(value.clone(), known.len() as u16);
-    Interned::New(value.clone())
 }
 
-/// Returns the value that a peer sent itself or by its index.
-fn resolve<T: Clone>(known: &mut Vec<T>, interned: Interned<T>) -> Result<T, BadFrame> {
-    match interned {
-        Interned::Once(value) => Ok(value),
-        Interned::Known(index) => known.get(usize::from(index)).cloned().ok_or(BadFrame),
-        Interned::New(value) => {
-            if known.len() >= MAX_TABLE_VALUES {
-                return Err(BadFrame);
+impl<T: Clone + Eq + Hash> SentValues<T> {
+    /// Replaces a value by its index if it was sent before.
+    fn intern(&mut self, value: &T, size: usize) -> Interned<T> {
+        if let Some(index) = self.indices.get(value) {
+            return Interned::Known(*index);
+        }
+        if size > MAX_INTERNED_BYTES {
+            return Interned::Once(value.clone());
+        }
+        let full = self.bytes + size > MAX_TABLE_BYTES;
+        if full {
+            *self = Self::default();
+        }
+        self.bytes += size;
+        let index = self.indices.len() as u16;
+        self.indices.insert(value.clone(), index);
+        if full {
+            Interned::First(value.clone())
+        } else {
+            Interned::New(value.clone())
+        }
+    }
+}
+
+impl<T: Clone> ReceivedValues<T> {
+    /// Returns the value that a peer sent itself or by its index.
+    fn resolve(
+        &mut self,
+        interned: Interned<T>,
+        size: impl Fn(&T) -> usize,
+    ) -> Result<T, BadFrame> {
+        let value = match interned {
+            Interned::Once(value) => return Ok(value),
+            Interned::Known(index) => {
+                return self.values.get(usize::from(index)).cloned().ok_or(BadFrame);
             }
-            known.push(value.clone());
-            Ok(value)
+            Interned::First(value) => {
+                *self = Self::default();
+                value
+            }
+            Interned::New(value) => value,
+        };
+        self.bytes += size(&value);
+        if self.bytes > MAX_TABLE_BYTES {
+            return Err(BadFrame);
         }
+        self.values.push(value.clone());
+        Ok(value)
     }
 }
 
+/// Returns the size that header lines count for.
+fn fields_size(fields: &Vec<u8>) -> usize {
+    VALUE_OVERHEAD_BYTES + fields.len()
+}
+
+/// Encodes the frames of one connection. It keeps the indices of the values that were sent.
+#[derive(Debug, Default)]
+pub struct Encoder {
+    kinds: SentValues<CallKind>,
+    fields: SentValues<Vec<u8>>,
+}
+
+/// Decodes the frames of one connection. It keeps the values that were received, by index.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    kinds: ReceivedValues<CallKind>,
+    fields: ReceivedValues<Vec<u8>>,
+}
+
 /// The bytes cannot be decoded as a frame.
 #[derive(Debug)]
 pub struct BadFrame;
@@ -432,7 +511,7 @@
                 history: call.history,
                 remaining_ms: call.remaining_ms,
                 target: call.target.clone(),
-                kind: intern(&mut self.kinds, &call.kind),
+                kind: self.kinds.intern(&call.kind, call.kind.size()),
             },
             Frame::Cancel { stream } => Wire::Cancel(*stream),
             Frame::Response {
@@ -442,7 +521,9 @@
             } => Wire::Response {
                 stream: *stream,
                 status: response.status,
-                fields: intern(&mut self.fields, &response.fields),
+                fields: self
+                    .fields
+                    .intern(&response.fields, fields_size(&response.fields)),
                 signature: response.signature.clone(),
                 held_us: response.held_us,
                 usage: response.usage.clone(),
@@ -524,7 +605,7 @@
                     history,
                     remaining_ms,
                     target,
-                    kind: resolve(&mut self.kinds, kind)?,
+                    kind: self.kinds.resolve(kind, CallKind::size)?,
                 };
                 Frame::Call { stream, call }
             }
@@ -540,7 +621,7 @@
             } => {
                 let response = ResponseHead {
                     status,
-                    fields: resolve(&mut self.fields, fields)?,
+                    fields: self.fields.resolve(fields, fields_size)?,
                     signature,
                     held_us,
                     usage,
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -3,7 +3,9 @@
 use bytes::BytesMut;
 use rstest::rstest;
 
-use super::{CallHead, CallHistory, CallKind, Decoder, Encoder, Frame, Load, NotRun};
+use super::{
+    CallHead, CallHistory, CallKind, Decoder, Encoder, Frame, Load, MAX_TABLE_BYTES, NotRun,
+};
 
 fn call(id: &str, route: &str) -> Frame {
     Frame::Call {
@@ -109,3 +111,43 @@
     let mut buffer = BytesMut::from(&[4, 0, 0, 0, 5, 0, 0, 0, 1, 2, 3, 4][..]);
     Decoder::default().decode(&mut buffer).unwrap_err();
 }
+
+/// Returns a call with header lines of its own.
+fn call_with_fields(index: usize, length: usize) -> Frame {
+    let Frame::Call { stream, mut call } = call(&format!("{index:016x}"), "r") else {
+        unreachable!()
+    };
+    call.kind.fields = format!("Cookie: {index:0length$}\r\n").into_bytes();
+    Frame::Call { stream, call }
+}
+
+/// Guards against tables of repeated values that fill the memory of the daemons when the header
+/// fields differ from call to call (review/2), and against values that get lost when a table is
+/// emptied.
+#[rstest]
+#[case::short(40)]
+#[case::long(1_500)]
+#[case::too_long_for_the_table(15_000)]
+fn values_that_differ_from_call_to_call_fill_no_memory(#[case] length: usize) {
+    let mut encoder = Encoder::default();
+    let mut decoder = Decoder::default();
+    let shared = call("a", "shared");
+    for index in 0..5_000 {
+        let frame = if index % 3 == 0 {
+            shared.clone()
+        } else {
+            call_with_fields(index, length)
+        };
+        let mut bytes = Vec::new();
+        encoder.encode(&frame, b"", &mut bytes);
+        let mut buffer = BytesMut::from(&*bytes);
+        assert_eq!(decoder.decode(&mut buffer).unwrap().unwrap().0, frame);
+        assert!(encoder.kinds.bytes <= MAX_TABLE_BYTES);
+        assert_eq!(encoder.kinds.bytes, decoder.kinds.bytes);
+        assert_eq!(encoder.kinds.indices.len(), decoder.kinds.values.len());
+    }
+    // Two tables on each of two connections with each other daemon of a fleet of 96 take less than
+    // half of the memory of the smallest VMs, which is 160 MB.
+    let held: usize = decoder.kinds.values.iter().map(CallKind::size).sum();
+    assert!(held * 2 * 2 * 95 < 80 << 20, "{held}");
+}
