--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -455,7 +455,7 @@
 }
 
 /// Returns the size that header lines count for.
-fn fields_size(fields: &Vec<u8>) -> usize {
+fn fields_size(fields: &[u8]) -> usize {
     VALUE_OVERHEAD_BYTES + fields.len()
 }
 
@@ -621,7 +621,7 @@
             } => {
                 let response = ResponseHead {
                     status,
-                    fields: self.fields.resolve(fields, fields_size)?,
+                    fields: self.fields.resolve(fields, |fields| fields_size(fields))?,
                     signature,
                     held_us,
                     usage,
