Bound the request bodies that a daemon holds

What callers saw: two clients of a VM uploaded 60 MiB each, within the operators' limit of 64 MiB.

Cause: the limit on bodies applies to each request; nothing bounded them together, and a body is copied when it is sent on. Frames between daemons take 24 MiB, so a larger body could only ever reach the local endpoint.

Fix: a body of up to 64 kB is always read. A larger one is read if it has at most 16 MiB and all bodies together at most 32 MiB; the stated length counts from the start. Other requests get 503 with a delay before their body is read, which is true, as nothing was passed on. Bytes after the last request of a connection are no longer buffered without a bound.

Not covered: a gate that gets large bodies from many daemons at the same moment, each of which keeps its bound.

--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -19,7 +19,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
-use transport::http1::{DecodeError, Decoder, Message, MessageKind};
+use transport::http1::{DecodeError, Decoder, Framing, Message, MessageKind};
 
 use crate::daemon::{Daemon, OpenRequest};
 use crate::forward::{self, Response};
@@ -34,14 +34,31 @@
 /// Bytes of further requests that are buffered while [`MAX_PIPELINED_REQUESTS`] are being served.
 const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
 
+/// Largest body of a request. Frames between daemons bound it too, and their head needs some room.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Largest total of request bodies that are being received or served. The smallest VMs have 160 MB
+/// for the daemon, and each body is copied when it is sent on.
+const MAX_HELD_BYTES: usize = 32 << 20;
+
+/// Size up to which a body is accepted whatever else is held.
+const SMALL_BODY_BYTES: usize = 64 << 10;
+
 /// Time within which a client must accept the bytes of its responses. Connections of clients have no
 /// shorter limit on bytes that they have not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time for which a connection is still read after its last response, so that unread bytes do not
+/// Silence after which a connection is no longer read after its last response. Unread bytes would
 /// reset it before the client has received that response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time for which a connection is read after its last response: enough for the rest of an
+/// upload that was refused.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
+
+/// Bytes that are read at once and dropped after the last response.
+const LINGER_BUFFER_BYTES: usize = 64 << 10;
+
 /// Limits that apply until a configuration is known.
 const DEFAULT_LIMITS: Limits = Limits {
     head_bytes: 16 << 10,
@@ -79,18 +96,48 @@
     if connection.run(&mut reader, &mut writer).await {
         // The last response is written; requests that still arrive are not served.
         drop(writer.shutdown().await);
-        let mut rest = BytesMut::new();
+        let mut rest = BytesMut::with_capacity(LINGER_BUFFER_BYTES);
         let drain = async {
-            while matches!(reader.read_buf(&mut rest).await, Ok(count) if count > 0) {
+            let mut read = timeout(LINGER_TIMEOUT, reader.read_buf(&mut rest)).await;
+            while matches!(read, Ok(Ok(count)) if count > 0) {
                 rest.clear();
+                read = timeout(LINGER_TIMEOUT, reader.read_buf(&mut rest)).await;
             }
         };
-        drop(timeout(LINGER_TIMEOUT, drain).await);
+        drop(timeout(MAX_LINGER_TIME, drain).await);
+    }
+}
+
+/// Bytes of a request body in the total of the daemon, given back when dropped.
+struct HeldBody {
+    daemon: Rc<Daemon>,
+    bytes: usize,
+}
+
+impl HeldBody {
+    fn new(daemon: Rc<Daemon>) -> Self {
+        Self { daemon, bytes: 0 }
+    }
+
+    /// Sets the size of the body; returns whether it can be held.
+    fn set(&mut self, bytes: usize) -> bool {
+        let total = &self.daemon.held_bodies;
+        total.set(total.get() - self.bytes + bytes);
+        self.bytes = bytes;
+        bytes <= SMALL_BODY_BYTES || (bytes <= MAX_BODY_BYTES && total.get() <= MAX_HELD_BYTES)
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.set(0);
     }
 }
 
 struct Connection {
     daemon: Rc<Daemon>,
+    /// Body that is being received.
+    held: HeldBody,
     limits: Limits,
     decoder: Decoder,
     buffer: BytesMut,
@@ -119,6 +166,7 @@
         let limits = DEFAULT_LIMITS;
         let waiting_since = daemon.clock.now();
         Self {
+            held: HeldBody::new(Rc::clone(&daemon)),
             daemon,
             limits,
             decoder: Decoder::new(MessageKind::Request, limits.head_bytes, limits.body_bytes),
@@ -138,7 +186,7 @@
             if self.pending.is_empty() && self.last {
                 return true;
             }
-            let full = self.pending.len() >= MAX_PIPELINED_REQUESTS
+            let full = (self.last || self.pending.len() >= MAX_PIPELINED_REQUESTS)
                 && self.buffer.len() >= MAX_READ_AHEAD_BYTES;
             let limit = self.read_timeout();
             tokio::select! {
@@ -211,10 +259,22 @@
         while !self.last && self.pending.len() < MAX_PIPELINED_REQUESTS && !self.buffer.is_empty() {
             self.update_limits();
             match self.decoder.take(&mut self.buffer) {
-                Ok(None) => return,
+                Ok(None) => {
+                    let size = self.pending_body();
+                    if !self.held.set(size) {
+                        self.refuse_body();
+                    }
+                    return;
+                }
                 Ok(Some(message)) => {
-                    self.last = message.head.close;
-                    self.start(message);
+                    let mut held = HeldBody::new(Rc::clone(&self.daemon));
+                    std::mem::swap(&mut held, &mut self.held);
+                    if held.set(message.body.len()) {
+                        self.last = message.head.close;
+                        self.start(message, held);
+                    } else {
+                        self.refuse_body();
+                    }
                 }
                 Err(malformed) => {
                     self.last = true;
@@ -230,6 +290,27 @@
         }
     }
 
+    /// Returns the size of the body that is being received: the stated one, or what has arrived.
+    fn pending_body(&self) -> usize {
+        match self.decoder.pending().map(|head| head.framing) {
+            Some(Framing::Length(length)) => length,
+            Some(_) => self.decoder.held_bytes() + self.buffer.len(),
+            None => 0,
+        }
+    }
+
+    /// Refuses a request whose body cannot be held. The rest of it is not read, so the connection
+    /// ends.
+    fn refuse_body(&mut self) {
+        self.last = true;
+        let served = Served {
+            id: None,
+            response: Ok(forward::refuse_body(&self.daemon, self.held.bytes)),
+            open: OpenRequest::new(Rc::clone(&self.daemon)),
+        };
+        self.pending.push_back(async { served }.boxed_local());
+    }
+
     /// Applies the limits of the configuration in force.
     fn update_limits(&mut self) {
         let active = self.daemon.configuration();
@@ -242,11 +323,12 @@
         }
     }
 
-    fn start(&mut self, message: Message) {
+    fn start(&mut self, message: Message, held: HeldBody) {
         self.waiting_since = self.daemon.clock.now();
         let daemon = Rc::clone(&self.daemon);
         let open = OpenRequest::new(Rc::clone(&daemon));
         let serve = async move {
+            let _held = held;
             match request::decode(&message) {
                 Ok(request) => {
                     let id = Some(request.id.clone());
--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -276,3 +276,76 @@
         })
         .await;
 }
+
+/// Starts an upload: sends its head and the first bytes of its body.
+async fn start_upload(address: std::net::SocketAddr, framing: &str, part: &[u8]) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.unwrap();
+    let request = request("/read/a", "1a");
+    let head = request.strip_suffix("\r\n").unwrap();
+    let head = format!("{head}{framing}\r\n\r\n");
+    client.write_all(head.as_bytes()).await.unwrap();
+    client.write_all(part).await.unwrap();
+    client
+}
+
+/// Guards against uploads within the operators' limit that together exceed the memory of the VM
+/// (review/1), and against small requests that are refused beside them.
+#[rstest]
+#[case::one_too_large(&[60 << 20])]
+#[case::many_that_are_too_large_together(&[15 << 20, 15 << 20, 15 << 20])]
+#[tokio::test]
+async fn uploads_are_refused_before_they_fill_the_memory(#[case] sizes: &[usize]) {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, endpoint, address) = start_daemon().await;
+            let limits = include_str!("../../../../platform/examples/configuration.json")
+                .replace("\"Version\": 1", "\"Version\": 2")
+                .replace("1048576", "67108864");
+            daemon.apply_configuration(limits.into(), 2);
+            let mut held = Vec::new();
+            let (refused, accepted) = sizes.split_last().unwrap();
+            for size in accepted {
+                let framing = format!("Content-Length: {size}");
+                held.push(start_upload(address, &framing, &vec![b'x'; 1 << 20]).await);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            // The client writes its whole request before it reads.
+            let framing = format!("Content-Length: {refused}");
+            let mut last = start_upload(address, &framing, &vec![b'x'; *refused]).await;
+            let got = read_until(&mut last, "\r\n\r\n").await;
+            assert!(got.starts_with("HTTP/1.1 503"), "{got}");
+            assert!(got.contains("Retry-After"), "{got}");
+            let mut small = start_upload(address, "Content-Length: 4", b"body").await;
+            let (mut stream, _) = endpoint.accept().await.unwrap();
+            read_until(&mut stream, "body").await;
+            stream.write_all(response("1a").as_bytes()).await.unwrap();
+            assert!(
+                read_until(&mut small, "body")
+                    .await
+                    .starts_with("HTTP/1.1 200")
+            );
+            drop((held, last, small));
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            assert_eq!(daemon.held_bodies.get(), 0);
+        })
+        .await;
+}
+
+/// Guards against a body in chunks whose size nobody states beforehand.
+#[tokio::test]
+async fn an_upload_in_chunks_is_refused_when_it_is_too_large() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _endpoint, address) = start_daemon().await;
+            let limits = include_str!("../../../../platform/examples/configuration.json")
+                .replace("\"Version\": 1", "\"Version\": 2")
+                .replace("1048576", "67108864");
+            daemon.apply_configuration(limits.into(), 2);
+            let chunk = [b"100000\r\n".as_slice(), &vec![b'x'; 1 << 20], b"\r\n"].concat();
+            let framing = "Transfer-Encoding: chunked";
+            let mut client = start_upload(address, framing, &chunk.repeat(60)).await;
+            let got = read_until(&mut client, "\r\n\r\n").await;
+            assert!(got.starts_with("HTTP/1.1 503"), "{got}");
+        })
+        .await;
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -95,6 +95,8 @@
     closing: Cell<bool>,
     /// Requests that arrived here and whose responses have not been written.
     open_requests: Cell<usize>,
+    /// Bytes of request bodies that are being received or served.
+    pub held_bodies: Cell<usize>,
     lost_lines: Arc<AtomicU64>,
 }
 
@@ -152,6 +154,7 @@
             stopping: Cell::new(None),
             closing: Cell::new(false),
             open_requests: Cell::new(0),
+            held_bodies: Cell::new(0),
             settings: RefCell::new(settings),
             lost_lines,
             clock,
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -270,6 +270,21 @@
     }
 }
 
+/// Refuses a request whose body is too large to be held beside the others.
+pub fn refuse_body(daemon: &Daemon, bytes: usize) -> Response {
+    if daemon
+        .log_limiter
+        .allows(daemon.clock.now(), "body_refused")
+    {
+        info!(event = "body_refused", bytes = bytes, held = daemon.held_bodies.get(); "the request has not run");
+    }
+    let random: f64 = daemon.rng.borrow_mut().random();
+    Response::Refused {
+        refusal: Refusal::NotRun(NotRun::Busy),
+        retry_after: Some(BASE_RETRY_DELAY.mul_f64(1.0 + random)),
+    }
+}
+
 /// Returns the time for which the caller waits: that of the request, else that of the route.
 fn client_timeout(request: &Request, route: &Route) -> Duration {
     request.client_timeout.unwrap_or(route.timeout)
