Let endpoints of the soak send heartbeats late and deregister first

Each endpoint that is replaced now sends a heartbeat from before its departure once more, and every second one deregisters at once and serves for 8 s more, as some endpoints do.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -107,6 +107,8 @@
     started_ms: u64,
     sequence: Cell<u64>,
     state: Cell<State>,
+    /// Whether it sends no more heartbeats.
+    silent: Cell<bool>,
     /// What its responses state about it.
     pub statement: Cell<Statement>,
     /// Injected fault.
@@ -136,6 +138,7 @@
             started_ms,
             sequence: Cell::new(0),
             state: Cell::new(State::Ready),
+            silent: Cell::new(false),
             statement: Cell::default(),
             fault: Cell::new(None),
             slots: Semaphore::new(SLOT_COUNT),
@@ -151,7 +154,7 @@
         });
         let owner = Rc::clone(&endpoint);
         endpoint.tasks.spawn(async move {
-            loop {
+            while !owner.silent.get() {
                 owner.announce().await;
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             }
@@ -167,13 +170,30 @@
     }
 
     /// Shuts down gracefully: announces that it drains, keeps serving for the drain time, announces
-    /// its departure and ends.
+    /// its departure and ends. A heartbeat that it sent before arrives late.
     pub async fn leave(&self, drain: Duration) {
+        let late = self.encode_heartbeat();
         self.state.set(State::Draining);
         self.announce().await;
-        tokio::time::sleep(drain + HEARTBEAT_INTERVAL).await;
-        self.send_announcement(standin::encode_departure(&self.instance, self.started_ms))
-            .await;
+        tokio::time::sleep(drain).await;
+        self.send_announcement(late).await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        self.send_departure().await;
+        self.crash().await;
+    }
+
+    /// Shuts down like [`Endpoint::leave`], but announces its departure at once and nothing after it,
+    /// and keeps serving for longer.
+    pub async fn depart_first(&self, drain: Duration) {
+        let late = self.encode_heartbeat();
+        self.silent.set(true);
+        if self.send_departure().await {
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.record_leaving(&self.instance, Instant::now());
+        }
+        tokio::time::sleep(drain).await;
+        self.send_announcement(late).await;
+        tokio::time::sleep(drain * 3).await;
         self.crash().await;
     }
 
@@ -185,8 +205,7 @@
             ..statement
         });
         tokio::time::sleep(drain * 2).await;
-        self.send_announcement(standin::encode_departure(&self.instance, self.started_ms))
-            .await;
+        self.send_departure().await;
         self.crash().await;
     }
 
@@ -227,26 +246,35 @@
     }
 
     async fn announce(&self) {
-        self.sequence.set(self.sequence.get() + 1);
         let state = self.state.get();
-        let announcement = Announcement {
+        let heartbeat = self.encode_heartbeat();
+        let acknowledged = self.send_announcement(heartbeat).await;
+        if acknowledged && state == State::Draining {
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.record_leaving(&self.instance, Instant::now());
+        }
+    }
+
+    /// Encodes the next heartbeat.
+    fn encode_heartbeat(&self) -> Vec<u8> {
+        self.sequence.set(self.sequence.get() + 1);
+        standin::encode_heartbeat(&Announcement {
             instance: self.instance.as_str().into(),
             service: self.config.service.into(),
             data_centre: "local".into(),
             address: self.config.announced,
             slots: SLOT_COUNT as u32,
-            state,
+            state: self.state.get(),
             cold: Duration::ZERO,
             started_ms: self.started_ms,
             sequence: self.sequence.get(),
-        };
-        let acknowledged = self
-            .send_announcement(standin::encode_heartbeat(&announcement))
-            .await;
-        if acknowledged && state == State::Draining {
-            let mut oracle = self.oracle.borrow_mut();
-            oracle.record_leaving(&self.instance, Instant::now());
-        }
+        })
+    }
+
+    /// Announces its departure; returns whether it was acknowledged.
+    async fn send_departure(&self) -> bool {
+        let departure = standin::encode_departure(&self.instance, self.started_ms);
+        self.send_announcement(departure).await
     }
 
     /// Sends an announcement; returns whether it was acknowledged.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,8 @@
     context: RunContext,
     version: Cell<u64>,
     probes: Cell<u64>,
+    /// Endpoints replaced so far.
+    replaced: Cell<u64>,
 }
 
 /// Executes one run on a single-threaded runtime.
@@ -181,6 +183,7 @@
             context,
             version: Cell::new(1),
             probes: Cell::new(0),
+            replaced: Cell::new(0),
         });
         run.await_ready().await?;
         let owner = Rc::clone(&run);
@@ -463,6 +466,13 @@
         }
     }
 
+    /// Whether the next endpoint that is replaced announces its departure at once: every second one.
+    fn departs_first(&self) -> bool {
+        let replaced = self.replaced.get() + 1;
+        self.replaced.set(replaced);
+        replaced.is_multiple_of(2)
+    }
+
     async fn inject_endpoint_fault(&self, action: Action) -> io::Result<()> {
         match action {
             Action::Crash(vm) => {
@@ -479,15 +489,17 @@
             }
             Action::Replace(vm) | Action::Depart(vm) => {
                 let vm = &self.vms[vm];
-                vm.record_disturbance(DisturbanceKind::Planned, DRAIN_LIMIT + RESTART_DELAY);
+                vm.record_disturbance(DisturbanceKind::Planned, DRAIN_LIMIT * 4 + RESTART_DELAY);
                 let endpoint = vm.endpoint.borrow_mut().take();
                 let Some(endpoint) = endpoint else {
                     return Ok(());
                 };
-                if matches!(action, Action::Replace(_)) {
-                    endpoint.leave(DRAIN_LIMIT).await;
-                } else {
-                    endpoint.depart(DRAIN_LIMIT).await;
+                match action {
+                    Action::Replace(_) if self.departs_first() => {
+                        endpoint.depart_first(DRAIN_LIMIT).await;
+                    }
+                    Action::Replace(_) => endpoint.leave(DRAIN_LIMIT).await,
+                    _ => endpoint.depart(DRAIN_LIMIT).await,
                 }
                 vm.start_endpoint()
             }
