Identify organisations by the keys of their requests

Cause: a configuration with organisations requires a key in each request to a route that is not exempt. The daemon ignored the keys and passed them on to endpoints.

Change: the configuration holds the digests of the keys; a request without a valid key gets 401; the endpoint gets the name of the organisation; the rank of the organisation replaces that of the route; nested calls belong to the organisation of their parent. The name travels with the call, so the protocol between daemons has version 5.

--- a/crates/policy/src/attempt/tests.rs
+++ b/crates/policy/src/attempt/tests.rs
@@ -18,6 +18,7 @@
         objective: Duration::from_secs(1),
         rank: 1,
         attempts: 2,
+        exempt: false,
         services: Vec::new(),
     })
 }
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -10,6 +10,8 @@
 pub type ServiceName = Arc<str>;
 /// Name of a customer, or `anonymous`.
 pub type CustomerName = Arc<str>;
+/// Name of an organisation whose clients identify themselves by keys.
+pub type OrganisationName = Arc<str>;
 /// Name of a kind of call, such as `booking`.
 pub type KindName = Arc<str>;
 /// Name of a data centre.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod level;
 pub mod limit;
 pub mod member;
-
+pub mod organisation;
 pub mod pacing;
 pub mod position;
 pub mod progress;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::id::ServiceName;
+use crate::organisation::{Credential, Organisation, Organisations};
 
 #[cfg(test)]
 mod tests;
@@ -58,6 +59,8 @@
     pub attempts: u32,
     /// Services among which the calls are split.
     pub services: Vec<WeightedService>,
+    /// Whether its requests need no key.
+    pub exempt: bool,
 }
 
 /// Bounds on what clients may send.
@@ -73,6 +76,10 @@
     pub idle_time: Duration,
 }
 
+/// A request needs a key and carries none that is valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unauthorised;
+
 /// One version of the operators' configuration.
 #[derive(Clone, Debug)]
 pub struct Configuration {
@@ -80,6 +87,8 @@
     pub version: ConfigurationVersion,
     /// Bounds on what clients may send.
     pub limits: Limits,
+    /// Organisations; `None` if requests need no key.
+    organisations: Option<Organisations>,
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
 }
 
@@ -95,10 +104,47 @@
         Self {
             version,
             limits,
+            organisations: None,
             hosts,
         }
     }
 
+    /// Requires a key of one of these organisations in each request to a route that is not exempt.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = Some(organisations);
+        self
+    }
+
+    /// Whether requests need keys.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        self.organisations.is_some()
+    }
+
+    /// Returns the organisation that sent a request to a route, or `None` for an anonymous one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route needs a key and the request carries none that is valid.
+    pub fn identify(
+        &self,
+        route: &Route,
+        credential: Credential,
+    ) -> Result<Option<&Arc<Organisation>>, Unauthorised> {
+        let Some(organisations) = &self.organisations else {
+            return Ok(None);
+        };
+        let holder = match credential {
+            Credential::Key(key) => organisations.holder(&key),
+            Credential::Missing | Credential::Malformed => None,
+        };
+        if holder.is_none() && !route.exempt {
+            return Err(Unauthorised);
+        }
+        Ok(holder)
+    }
+
     /// Returns the route of a host with the longest matching path prefix.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -15,6 +15,7 @@
         objective: Duration::from_secs(1),
         rank: 1,
         attempts: 2,
+        exempt: false,
         services: services
             .iter()
             .map(|(service, weight)| WeightedService {
--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -35,6 +35,7 @@
         objective: MS * 800,
         rank: 1,
         attempts: 2,
+        exempt: false,
         services: Vec::new(),
     }
 }
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -136,11 +136,12 @@
             .collect()
     }
 
-    /// Decides on a new chain whose first call goes to `service`. `headroom_of` returns what a
+    /// Decides on a new chain of a rank whose first call goes to `service`. `headroom_of` returns what a
     /// service can take, or `None` for a service of which nothing is known.
     pub fn decide(
         &mut self,
         route: &Route,
+        rank: u32,
         service: &ServiceName,
         client_timeout: Duration,
         headroom_of: impl Fn(&ServiceName) -> Option<Headroom>,
@@ -160,7 +161,7 @@
         let share = share
             .min(success_chance * MIN_SUCCESS_CHANCE.recip())
             .max(MIN_ADMISSION_SHARE);
-        if route.rank == 0 || share >= 1.0 {
+        if rank == 0 || share >= 1.0 {
             return ThrottleDecision::Admitted { share: 1.0, resent };
         }
         let factor = if resent { RESENT_SHARE_FACTOR } else { 1.0 };
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -19,6 +19,7 @@
         objective: MS * 1_500,
         rank,
         attempts: 2,
+        exempt: false,
         services: vec![WeightedService {
             service: "vitrina".into(),
             weight: 1.0,
@@ -53,9 +54,13 @@
     share: f64,
 ) -> ThrottleDecision {
     let first_service = &route.services[0].service;
-    throttle.decide(route, first_service, client_timeout, |service| {
-        (**service == *"inventario").then(|| headroom(share, 1.0))
-    })
+    throttle.decide(
+        route,
+        route.rank,
+        first_service,
+        client_timeout,
+        |service| (**service == *"inventario").then(|| headroom(share, 1.0)),
+    )
 }
 
 fn trained_throttle() -> EntryThrottle {
@@ -134,7 +139,7 @@
     let first_service = &catalogo.services[0].service;
     let admitted = (0..100)
         .filter(|_| {
-            throttle.decide(&catalogo, first_service, MS * 5_000, |_| {
+            throttle.decide(&catalogo, catalogo.rank, first_service, MS * 5_000, |_| {
                 Some(headroom(0.5, 1.0))
             }) != ThrottleDecision::Refused
         })
@@ -153,8 +158,13 @@
                 let headroom_of = |service: &ServiceName| {
                     (**service == *"inventario").then(|| headroom(1.0, accepted))
                 };
-                throttle.decide(&catalogo, first_service, MS * 5_000, headroom_of)
-                    != ThrottleDecision::Refused
+                throttle.decide(
+                    &catalogo,
+                    catalogo.rank,
+                    first_service,
+                    MS * 5_000,
+                    headroom_of,
+                ) != ThrottleDecision::Refused
             })
             .count()
     };
--- a/crates/policy/tests/histories.rs
+++ b/crates/policy/tests/histories.rs
@@ -188,6 +188,7 @@
             objective: Duration::from_millis(deadline_ms - begin),
             rank: self.rng.random_range(0..3),
             attempts: MAX_ATTEMPTS,
+            exempt: false,
             services: Vec::new(),
         };
         self.calls.push(Call {
--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -36,6 +36,7 @@
         left: Duration::from_secs(1),
         instance: "i-1",
         caller: "vitrina",
+        organisation: None,
     };
     let mut bytes = Vec::new();
     request::encode(&forward, &mut bytes);
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use log::info;
 use policy::attempt::{AttemptFailure, Attempts, RetryDecision};
-use policy::id::{DataCentreName, ServiceName, VmId};
+use policy::id::{DataCentreName, OrganisationName, ServiceName, VmId};
+use policy::organisation::Organisation;
 use policy::routing::{RetrySafety, Route};
 use policy::selection::{self, Candidate};
 use policy::throttle::{ThrottleDecision, Usage};
@@ -46,6 +47,8 @@
     Unconfigured,
     /// No route matches the request.
     NoRoute,
+    /// The route needs a key and the request carries none that is valid.
+    Unauthorised,
     /// A service that the chain would call has too little headroom.
     Throttled,
     /// The daemon may exit before the deadline of the call.
@@ -64,6 +67,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
+            Self::Unauthorised => 401,
             Self::Unconfigured
             | Self::Throttled
             | Self::Closing
@@ -146,15 +150,55 @@
     }
 }
 
+/// What the configuration in force says about a request.
+struct Routing {
+    route: Arc<Route>,
+    rank: u32,
+    /// Organisation whose key the request carries.
+    organisation: Option<Arc<Organisation>>,
+}
+
+impl Routing {
+    /// Looks up the route and the sender of a request, and completes the header fields that are
+    /// forwarded. Fails with the refusal, and the route if one matches.
+    fn of(daemon: &Daemon, request: &mut Request) -> Result<Self, (Option<Arc<Route>>, Refusal)> {
+        let configuration = daemon
+            .configuration()
+            .ok_or((None, Refusal::Unconfigured))?;
+        let route = configuration
+            .route(&request.host, request.path())
+            .cloned()
+            .ok_or((None, Refusal::NoRoute))?;
+        let Ok(organisation) = configuration.identify(&route, request.credential) else {
+            return Err((Some(route), Refusal::Unauthorised));
+        };
+        if !configuration.needs_keys() {
+            request.credential_fields.append_to(&mut request.fields);
+        }
+        Ok(Self {
+            rank: organisation
+                .and_then(|sender| sender.rank)
+                .unwrap_or(route.rank),
+            organisation: organisation.cloned(),
+            route,
+        })
+    }
+}
+
 /// Serves a request that a client, or the local endpoint, sent to this daemon.
-pub async fn serve(daemon: &Rc<Daemon>, request: Request) -> Response {
+pub async fn serve(daemon: &Rc<Daemon>, mut request: Request) -> Response {
     let arrived = daemon.clock.now();
-    let Some(configuration) = daemon.configuration() else {
-        return refuse(daemon, arrived, &request, None, Refusal::Unconfigured);
-    };
-    let Some(route) = configuration.route(&request.host, request.path()).cloned() else {
-        return refuse(daemon, arrived, &request, None, Refusal::NoRoute);
+    let routing = match Routing::of(daemon, &mut request) {
+        Ok(routing) => routing,
+        Err((route, refusal)) => {
+            return refuse(daemon, arrived, &request, route.as_ref(), refusal);
+        }
     };
+    let Routing {
+        route,
+        rank,
+        organisation,
+    } = routing;
     let timeout = client_timeout(&request, &route).min(route.timeout);
     let deadline = Deadline {
         at: arrived + timeout,
@@ -170,13 +214,19 @@
     let parent = daemon.gate.parent(&request.id);
     let (share, returned) = match &parent {
         Some(parent) => (parent.share, false),
-        None => match admit(daemon, &route, &service, client_timeout(&request, &route)) {
+        None => match admit(
+            daemon,
+            &route,
+            rank,
+            &service,
+            client_timeout(&request, &route),
+        ) {
             ThrottleDecision::Refused => {
                 return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled);
             }
             // Calls of rank 0, the most urgent one, are not elastic.
             ThrottleDecision::Admitted { share, resent } => {
-                let share = (route.rank > 0).then_some((share * SHARE_SCALE) as u16);
+                let share = (rank > 0).then_some((share * SHARE_SCALE) as u16);
                 (share, resent)
             }
         },
@@ -192,6 +242,11 @@
         daemon,
         request: &request,
         route: &route,
+        rank,
+        organisation: match &parent {
+            Some(parent) => parent.organisation.clone(),
+            None => organisation.map(|sender| OrganisationName::clone(&sender.name)),
+        },
         service,
         deadline,
         arrived,
@@ -218,7 +273,7 @@
             }
             daemon
                 .metrics
-                .record_response(&route.rank.to_string(), "answered", time);
+                .record_response(&rank.to_string(), "answered", time);
             Response::Endpoint {
                 status,
                 fields,
@@ -294,11 +349,12 @@
 fn admit(
     daemon: &Daemon,
     route: &Route,
+    rank: u32,
     service: &ServiceName,
     timeout: Duration,
 ) -> ThrottleDecision {
     let mut throttle = daemon.throttle.borrow_mut();
-    throttle.decide(route, service, timeout, |service| {
+    throttle.decide(route, rank, service, timeout, |service| {
         daemon.headroom_of(service, None)
     })
 }
@@ -315,6 +371,9 @@
     daemon: &'a Rc<Daemon>,
     request: &'a Request,
     route: &'a Arc<Route>,
+    rank: u32,
+    /// Organisation that sent its chain.
+    organisation: Option<OrganisationName>,
     service: ServiceName,
     deadline: Deadline,
     arrived: Instant,
@@ -483,11 +542,12 @@
                 .nested
                 .map_or(0, |nested| nested.remaining.as_millis() as u32),
             target: self.request.target.clone(),
+            organisation: self.organisation.clone(),
             kind: CallKind {
                 instance: entry.endpoint.instance.to_string(),
                 caller: daemon.service().to_string(),
                 route: self.route.name.to_string(),
-                rank: self.route.rank,
+                rank: self.rank,
                 idempotent: self.route.retry_safety == RetrySafety::Idempotent,
                 nested: self.nested.is_some(),
                 method: self.request.method.clone(),
--- a/crates/sidecar/src/forward/tests.rs
+++ b/crates/sidecar/src/forward/tests.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use adapter::request::Request;
+use adapter::request::{CredentialFields, Request};
 use bytes::Bytes;
+use policy::organisation::{Credential, KeyDigest};
 use tokio::task::LocalSet;
 
 use super::{Refusal, Response, serve};
@@ -18,6 +19,8 @@
         target: "/read/a".to_owned(),
         host: "shop.example".to_owned(),
         fields: Vec::new(),
+        credential: Credential::Missing,
+        credential_fields: CredentialFields::default(),
         body: Bytes::new(),
     }
 }
@@ -73,3 +76,36 @@
         Response::Endpoint { .. } => panic!("there is no endpoint"),
     }
 }
+
+/// Guards against a request that runs without the key that its route needs, and against a refusal
+/// that invites the client to try again with the same key.
+#[tokio::test]
+async fn a_request_without_a_valid_key_is_refused() {
+    LocalSet::new()
+        .run_until(async {
+            let (daemon, _) = daemon();
+            let mut text = String::from_utf8(configuration(1).to_vec()).unwrap();
+            text = text.replacen(
+                "\"Services\": {}",
+                "\"Services\": {}, \"Tenants\": {\"a\": {\"ApiKeys\": [\"k1\"]}}",
+                1,
+            );
+            daemon.apply_configuration(text.into(), 1);
+            let mut valid = request("1a");
+            valid.credential = Credential::Key(KeyDigest::new(b"k1"));
+            let served = serve(&daemon, valid).await;
+            assert_eq!(refusal(&served), Refusal::NoEndpoint);
+            for credential in [Credential::Missing, Credential::Malformed] {
+                let mut invalid = request("2b");
+                invalid.credential = credential;
+                let refused = serve(&daemon, invalid).await;
+                assert_eq!(refusal(&refused), Refusal::Unauthorised);
+                assert_eq!(refusal(&refused).status(), 401);
+                let Response::Refused { retry_after, .. } = refused else {
+                    unreachable!()
+                };
+                assert_eq!(retry_after, None);
+            }
+        })
+        .await;
+}
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -12,7 +12,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use policy::demand::ElasticRoom;
 use policy::fleet::{Announcement, VmEntry};
-use policy::id::ServiceName;
+use policy::id::{OrganisationName, ServiceName};
 use policy::position::Position;
 use policy::selection;
 use serde::{Deserialize, Serialize};
@@ -21,7 +21,7 @@
 mod tests;
 
 /// Version of this protocol. A daemon refuses connections with another version.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
@@ -125,6 +125,8 @@
     pub remaining_ms: u32,
     /// Path and query.
     pub target: String,
+    /// Organisation that sent its chain.
+    pub organisation: Option<OrganisationName>,
     /// Fields that it shares with other calls.
     pub kind: CallKind,
 }
@@ -290,6 +292,7 @@
         history: CallHistory,
         remaining_ms: u32,
         target: String,
+        organisation: Option<Interned<OrganisationName>>,
         kind: Interned<CallKind>,
     },
     Cancel(StreamId),
@@ -459,10 +462,16 @@
     VALUE_OVERHEAD_BYTES + fields.len()
 }
 
+/// Returns the size that the name of an organisation counts for.
+fn name_size(name: &OrganisationName) -> usize {
+    VALUE_OVERHEAD_BYTES + name.len()
+}
+
 /// Encodes the frames of one connection. It keeps the indices of the values that were sent.
 #[derive(Debug, Default)]
 pub struct Encoder {
     kinds: SentValues<CallKind>,
+    organisations: SentValues<OrganisationName>,
     fields: SentValues<Vec<u8>>,
 }
 
@@ -470,6 +479,7 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     kinds: ReceivedValues<CallKind>,
+    organisations: ReceivedValues<OrganisationName>,
     fields: ReceivedValues<Vec<u8>>,
 }
 
@@ -511,6 +521,10 @@
                 history: call.history,
                 remaining_ms: call.remaining_ms,
                 target: call.target.clone(),
+                organisation: call
+                    .organisation
+                    .as_ref()
+                    .map(|name| self.organisations.intern(name, name_size(name))),
                 kind: self.kinds.intern(&call.kind, call.kind.size()),
             },
             Frame::Cancel { stream } => Wire::Cancel(*stream),
@@ -596,6 +610,7 @@
                 history,
                 remaining_ms,
                 target,
+                organisation,
                 kind,
             } => {
                 let call = CallHead {
@@ -605,6 +620,9 @@
                     history,
                     remaining_ms,
                     target,
+                    organisation: organisation
+                        .map(|name| self.organisations.resolve(name, name_size))
+                        .transpose()?,
                     kind: self.kinds.resolve(kind, CallKind::size)?,
                 };
                 Frame::Call { stream, call }
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -20,6 +20,7 @@
             },
             remaining_ms: 450,
             target: "/a/b".to_owned(),
+            organisation: None,
             kind: CallKind {
                 instance: "i-1".to_owned(),
                 caller: "vitrina".to_owned(),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -15,7 +15,7 @@
 use policy::clock::Clock;
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
 use policy::fleet::{Announcement, InstanceId, State};
-use policy::id::ServiceName;
+use policy::id::{OrganisationName, ServiceName};
 use policy::progress::{self, Progress};
 use policy::queue::{EndpointQueue, EnqueueOutcome, QueuedCall, WaitingId};
 use policy::retry::{RetryBound, RetryBudget};
@@ -212,6 +212,8 @@
     history: CallHistory,
     route: String,
     deadline: Deadline,
+    /// Organisation that sent the chain.
+    pub organisation: Option<OrganisationName>,
     /// Time that the chain needs after it.
     remaining: Duration,
     /// Nested calls made so far.
@@ -239,6 +241,7 @@
             history: job.call.history,
             route: job.call.kind.route.clone(),
             deadline: job.deadline,
+            organisation: job.call.organisation.clone(),
             remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
             made: Cell::new(0),
             usage: RefCell::default(),
@@ -962,6 +965,7 @@
         left,
         instance: &job.call.kind.instance,
         caller: &job.call.kind.caller,
+        organisation: job.call.organisation.as_deref(),
     };
     let mut bytes = Vec::with_capacity(512 + job.body.len());
     request::encode(&forward, &mut bytes);
--- a/crates/sidecar/src/gate/statement_tests.rs
+++ b/crates/sidecar/src/gate/statement_tests.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use adapter::request::Request;
+use adapter::request::{CredentialFields, Request};
 use adapter::response::Statement;
 use adapter::standin;
 use bytes::{Bytes, BytesMut};
 use policy::fleet::{State, VmEntry};
+use policy::organisation::Credential;
 use policy::position::Position;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -209,6 +210,8 @@
         target: "/read/a".to_owned(),
         host: "shop.example".to_owned(),
         fields: Vec::new(),
+        credential: Credential::Missing,
+        credential_fields: CredentialFields::default(),
         body: Bytes::new(),
     };
     forward::serve(daemon, request).await
--- a/crates/sidecar/src/testing.rs
+++ b/crates/sidecar/src/testing.rs
@@ -149,6 +149,7 @@
         history: CallHistory::default(),
         remaining_ms: 0,
         target: "/".to_owned(),
+        organisation: None,
         kind: CallKind {
             instance: instance.to_owned(),
             caller: "vitrina".to_owned(),
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -120,6 +120,7 @@
         objective: Duration::from_millis(kind.timeout_ms / 2),
         rank: kind.rank,
         attempts: MAX_ATTEMPTS,
+        exempt: false,
         services: vec![WeightedService {
             service: kind.service.into(),
             weight: 1.0,
