Order calls by the rank of the organisation, then by that of the route

Cause: the rank of an organisation replaced that of the route, so urgent short calls waited behind long ones of the same organisation and could be refused by the admission share.

Change: the rank of the organisation takes precedence, the route decides within it; nested calls have the rank of the organisation of their root. Which routes are urgent depends on the route alone.

--- a/crates/policy/src/organisation.rs
+++ b/crates/policy/src/organisation.rs
@@ -14,6 +14,25 @@
 #[cfg(test)]
 mod tests;
 
+/// Ranks of routes that are told apart within one rank of an organisation.
+const ROUTE_RANKS: u32 = 1 << 16;
+
+/// Returns the rank of a call: the rank of its organisation takes precedence over that of its route.
+/// Without organisations it is the rank of the route.
+#[must_use]
+pub fn call_rank(organisation: Option<u32>, route: u32) -> u32 {
+    organisation
+        .unwrap_or(0)
+        .saturating_mul(ROUTE_RANKS)
+        .saturating_add(route.min(ROUTE_RANKS - 1))
+}
+
+/// Returns the rank of the organisation in the rank of a call.
+#[must_use]
+pub fn organisation_rank(call: u32) -> u32 {
+    call / ROUTE_RANKS
+}
+
 /// SHA-256 digest of a key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
@@ -57,7 +76,8 @@
 pub struct Organisation {
     /// Its name.
     pub name: OrganisationName,
-    /// Rank of its requests, which replaces that of their routes; 0 is the most urgent.
+    /// Rank of its requests, which takes precedence over that of their routes; 0 is the most
+    /// urgent.
     pub rank: Option<u32>,
     /// Limit on its requests; `None` if there is none.
     pub quota: Option<Quota>,
--- a/crates/policy/src/organisation/tests.rs
+++ b/crates/policy/src/organisation/tests.rs
@@ -1,6 +1,6 @@
 //! Guards against a key that opens the account of another organisation, and against keys in logs.
 
-use super::{KeyDigest, Organisation, Organisations, SharedKey};
+use super::{KeyDigest, Organisation, Organisations, SharedKey, call_rank, organisation_rank};
 
 fn organisation(name: &str) -> Organisation {
     Organisation {
@@ -10,6 +10,17 @@
     }
 }
 
+/// Guards against an order in which urgent routes of an organisation wait behind its others.
+#[test]
+fn the_rank_of_the_organisation_comes_before_that_of_the_route() {
+    assert!(call_rank(Some(0), 60_000) < call_rank(Some(1), 0));
+    assert!(call_rank(Some(1), 0) < call_rank(Some(1), 2));
+    assert!(call_rank(Some(1), u32::MAX) < call_rank(Some(2), 0));
+    assert_eq!(call_rank(None, 2), 2);
+    assert_eq!(organisation_rank(call_rank(Some(3), 2)), 3);
+    assert!(call_rank(Some(u32::MAX), 0) >= call_rank(Some(1 << 15), 0));
+}
+
 #[test]
 fn a_key_identifies_only_its_holder() {
     let mut all = Organisations::new();
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -11,7 +11,7 @@
 use log::info;
 use policy::attempt::{AttemptFailure, Attempts, RetryDecision};
 use policy::id::{DataCentreName, OrganisationName, ServiceName, VmId};
-use policy::organisation::Organisation;
+use policy::organisation::{Organisation, call_rank, organisation_rank};
 use policy::routing::{RetrySafety, Route};
 use policy::selection::{self, Candidate};
 use policy::throttle::{ThrottleDecision, Usage};
@@ -176,9 +176,7 @@
             request.credential_fields.append_to(&mut request.fields);
         }
         Ok(Self {
-            rank: organisation
-                .and_then(|sender| sender.rank)
-                .unwrap_or(route.rank),
+            rank: call_rank(organisation.and_then(|sender| sender.rank), route.rank),
             organisation: organisation.cloned(),
             route,
         })
@@ -217,7 +215,7 @@
         None => match admit(
             daemon,
             &route,
-            rank,
+            route.rank,
             &service,
             client_timeout(&request, &route),
         ) {
@@ -226,7 +224,7 @@
             }
             // Calls of rank 0, the most urgent one, are not elastic.
             ThrottleDecision::Admitted { share, resent } => {
-                let share = (rank > 0).then_some((share * SHARE_SCALE) as u16);
+                let share = (route.rank > 0).then_some((share * SHARE_SCALE) as u16);
                 (share, resent)
             }
         },
@@ -242,7 +240,9 @@
         daemon,
         request: &request,
         route: &route,
-        rank,
+        rank: parent.as_ref().map_or(rank, |parent| {
+            call_rank(Some(organisation_rank(parent.rank)), route.rank)
+        }),
         organisation: match &parent {
             Some(parent) => parent.organisation.clone(),
             None => organisation.map(|sender| OrganisationName::clone(&sender.name)),
@@ -273,7 +273,7 @@
             }
             daemon
                 .metrics
-                .record_response(&rank.to_string(), "answered", time);
+                .record_response(&route.rank.to_string(), "answered", time);
             Response::Endpoint {
                 status,
                 fields,
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -212,6 +212,8 @@
     history: CallHistory,
     route: String,
     deadline: Deadline,
+    /// Rank of the call.
+    pub rank: u32,
     /// Organisation that sent the chain.
     pub organisation: Option<OrganisationName>,
     /// Time that the chain needs after it.
@@ -241,6 +243,7 @@
             history: job.call.history,
             route: job.call.kind.route.clone(),
             deadline: job.deadline,
+            rank: job.call.kind.rank,
             organisation: job.call.organisation.clone(),
             remaining: Duration::from_millis(u64::from(job.call.remaining_ms)),
             made: Cell::new(0),
