Check a configuration before it is sent

Cause: operators saw mistakes of a configuration only when requests went wrong: a route that no request matches, a key in two organisations, a burst that never grants a request.

Change: `configuration check` decodes the file as the daemon does, through a draft from which the daemon builds its index too, and reports findings and the changes from the version in force.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod burn;
 pub mod clock;
 pub mod demand;
+pub mod draft;
 pub mod fleet;
 pub mod home;
 pub mod id;
--- a/crates/sapphiredoor/src/cmd.rs
+++ b/crates/sapphiredoor/src/cmd.rs
@@ -63,6 +63,7 @@
             drain(),
             homes(),
             settings(),
+            configuration(),
             completions(),
         ])
 }
@@ -348,6 +349,29 @@
         .subcommand(check)
 }
 
+fn configuration() -> Command {
+    let check = Command::new("check")
+        .about("Report what is wrong with a configuration before it is sent, and what it changes")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Configuration as it would be written to the store"),
+        )
+        .arg(file_option("in-force").help("Configuration in force, to compare with"))
+        .after_help(help_footer(
+            "sapphiredoor configuration check platform/examples/configuration.json\n\
+             sapphiredoor configuration check new.json --in-force old.json --output json",
+            &[0, EXIT_USAGE, EXIT_MISTAKES, EXIT_IO],
+        ));
+    Command::new("configuration")
+        .about("Check a configuration of the users' platform")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check)
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print the completion script of a shell")
--- a/crates/sapphiredoor/src/lib.rs
+++ b/crates/sapphiredoor/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod cmd;
 pub mod completions;
+pub mod configuration;
 pub mod console;
 pub mod drain;
 pub mod explain;
@@ -70,6 +71,7 @@
         Some(("drain", matches)) => drain::run(matches, console),
         Some(("homes", matches)) => homes::run(matches, console),
         Some(("settings", matches)) => settings::run(matches, console),
+        Some(("configuration", matches)) => configuration::run(matches, console),
         Some(("completions", matches)) => completions::run(matches, console),
         // The command line requires one of the subcommands above.
         _ => Err(Failure::Usage("name a subcommand; see --help".to_owned())),
