Estimate calls by cost and place them by it

Cause: an entry picks the endpoint with the least mean time there plus the calls beyond its slots. It knows neither how long the queued calls are, nor the speed of an endpoint for a route that it never sent there, nor the present pace of the machine. A report that ages counts as an idle endpoint, so 59 entries send to the one of which they heard least.

Change: policy::cost holds the estimates (backlog and pace at the gate, route costs and endpoint speeds at the entry). selection::pick_by_cost uses them; aged reports count as the typical load of the service, and the choice is random by free slots and by how little an endpoint is behind.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balancer;
 pub mod burn;
 pub mod clock;
+pub mod cost;
 pub mod demand;
 pub mod fleet;
 pub mod home;
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::cost::HoldTime;
 use crate::queue::TimeEstimate;
 
 #[cfg(test)]
@@ -44,6 +45,12 @@
         known.time.record(time);
     }
 
+    /// Returns the time for which runs of a route hold a slot; `None` without complete runs.
+    #[must_use]
+    pub fn hold_time(&self, route: &str) -> Option<HoldTime> {
+        self.0.get(route).map(|known| known.time.hold_time())
+    }
+
     /// Returns the shortest time in which a run of a route is expected to end.
     #[must_use]
     pub fn lower_bound(&self, route: &str) -> Duration {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::cost::HoldTime;
 use crate::rate_limit::RateLimiter;
 
 #[cfg(test)]
@@ -280,6 +281,15 @@
         self.mean += TIME_ESTIMATE_WEIGHT * (time - self.mean);
     }
 
+    /// Returns the mean time and the mean deviation from it.
+    #[must_use]
+    pub fn hold_time(&self) -> HoldTime {
+        HoldTime {
+            mean: Duration::from_secs_f64(self.mean),
+            deviation: Duration::from_secs_f64(self.deviation.max(0.0)),
+        }
+    }
+
     /// Returns the shortest time with which a call has a fair chance to succeed.
     ///
     /// Some kinds of work vary little between calls and others a lot. The mean alone would refuse
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -5,11 +5,19 @@
 //! preferred while they have headroom. An endpoint that failed is ejected for a while, unless all
 //! are ejected. An endpoint that refuses some of its calls despite headroom gets calls only when
 //! the others are full.
+//!
+//! Two rules estimate the time of a call at an endpoint. [`pick_endpoint`] knows its load and the
+//! mean time of the route there; [`pick_by_cost`] knows the work that is left there, the speed of
+//! the endpoint and its present pace.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use serde::Deserialize;
+
+use crate::cost::{self, RouteCosts, Speed};
 use crate::demand::ElasticRoom;
+use crate::fleet::InstanceId;
 use crate::id::VmId;
 use crate::routing::{Route, RouteName};
 
@@ -53,6 +61,51 @@
 /// while they are below one.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// Difference of expected times, as a fraction of the mean cost of the route, at which the slower of
+/// two endpoints is picked 1/e times as often. With less, 59 entries that act on the same reports
+/// overfill the fastest endpoint; with more, slow endpoints get calls although fast ones are free.
+const UNCERTAINTY_FRACTION: f64 = 0.15;
+
+/// Lower bound of that difference.
+const MIN_UNCERTAINTY: Duration = Duration::from_millis(1);
+
+/// Time that a running call still needs when another one arrives, as a fraction of the mean hold
+/// time: half of it if all calls took equally long, more if they differ.
+const RESIDUAL_FRACTION: f64 = 0.55;
+
+/// Factor of the expected wait: a call that has to wait also delays those that arrive after it.
+const WAIT_FACTOR: f64 = 2.0;
+
+/// Rule by which the endpoint of a call is picked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Placement {
+    /// By cost for a service of which an endpoint states a pace, by load otherwise.
+    #[default]
+    Auto,
+    /// By load.
+    Load,
+    /// By cost.
+    Cost,
+}
+
+impl Placement {
+    /// Whether the endpoint is picked by cost.
+    #[must_use]
+    pub fn is_by_cost(self, candidates: &[Candidate<'_>]) -> bool {
+        let states_pace = |candidate: &Candidate<'_>| {
+            let target = candidate.target;
+            target.is_some_and(|target| target.load.pace.is_some())
+        };
+        match self {
+            Self::Auto => candidates.iter().any(states_pace),
+            Self::Load => false,
+            Self::Cost => true,
+        }
+    }
+}
+
 /// Load of an endpoint as reported by its gate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -66,6 +119,11 @@
     pub room: ElasticRoom,
     /// Fraction of the calls sent to the endpoint that it does not refuse.
     pub accepted: f64,
+    /// Slot time that its calls still need.
+    pub backlog: Duration,
+    /// Time that work takes at present relative to the usual one there; `None` if the endpoint
+    /// states none.
+    pub pace: Option<f64>,
 }
 
 impl Default for Load {
@@ -76,6 +134,8 @@
             hold_time: Duration::ZERO,
             room: ElasticRoom::UNUSED,
             accepted: 1.0,
+            backlog: Duration::ZERO,
+            pace: None,
         }
     }
 }
@@ -150,9 +210,115 @@
     failed_at: Option<Instant>,
     ejected_until: Option<Instant>,
     mean_times: HashMap<RouteName, Duration>,
+    speed: Speed,
+}
+
+/// What a call is expected to find at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Time for which it waits for a slot.
+    pub wait: Duration,
+    /// Time for which it holds the slot.
+    pub hold: Duration,
+    /// Slot time that the calls there still need.
+    pub backlog: Duration,
+    /// Present pace of the machine relative to its usual one.
+    pub pace: f64,
+    /// Slots expected to be free.
+    free_slots: f64,
+}
+
+/// Load for each slot that the endpoints of a service report on average.
+#[derive(Clone, Copy, Debug, Default)]
+struct TypicalLoad {
+    calls: f64,
+    /// Seconds of slot time that the calls still need.
+    backlog: f64,
+}
+
+impl TypicalLoad {
+    /// Averages the reports by slots and by what each still says.
+    fn new<'a>(now: Instant, targets: impl Iterator<Item = &'a EndpointStats>) -> Self {
+        let mut sum = Self::default();
+        let mut slots = 0.0;
+        for target in targets {
+            let weight = target.report_weight(now);
+            slots += weight * f64::from(target.load.limit);
+            sum.calls += weight * f64::from(target.load.calls);
+            sum.backlog += weight * target.load.backlog.as_secs_f64();
+        }
+        if slots > 0.0 {
+            sum.calls /= slots;
+            sum.backlog /= slots;
+        }
+        sum
+    }
 }
 
 impl EndpointStats {
+    /// Forgets the speed of the endpoint if another instance has replaced it.
+    pub fn follow_instance(&mut self, now: Instant, instance: &InstanceId, started_ms: u64) {
+        self.speed.follow(now, instance, started_ms);
+    }
+
+    /// Records the hold time of a successful call in the cost of its route and in the speed of the
+    /// endpoint.
+    pub fn record_cost(
+        &mut self,
+        now: Instant,
+        costs: &mut RouteCosts,
+        route: &RouteName,
+        hold_time: Duration,
+    ) {
+        if let Some(ratio) = costs.record(route, hold_time) {
+            self.speed.record(now, ratio, hold_time);
+        }
+    }
+
+    fn report_age(&self, now: Instant) -> Option<Duration> {
+        let reported_at = self.reported_at?;
+        Some(now.saturating_duration_since(reported_at))
+    }
+
+    /// Returns how much the last report still says, between 0 and 1.
+    fn report_weight(&self, now: Instant) -> f64 {
+        self.report_age(now)
+            .map_or(0.0, |age| cost::fraction_left(age, REPORT_HALF_LIFE))
+    }
+
+    /// Returns what a call of a route with this mean cost is expected to find there.
+    ///
+    /// The weight that a report loses with its age goes to the typical load of the service. If it
+    /// went to an idle endpoint, all entries would send to the one of which they heard least.
+    fn estimate(&self, now: Instant, cost: Duration, typical: TypicalLoad) -> Estimate {
+        let hold = cost.as_secs_f64() * self.speed.ratio(now);
+        let weight = self.report_weight(now);
+        let limit = f64::from(self.load.limit);
+        let sent = f64::from(self.in_flight.saturating_sub(self.in_flight_at_report));
+        let mix = |reported, typical| weight * reported + (1.0 - weight) * typical * limit;
+        let calls = mix(f64::from(self.load.calls), typical.calls) + sent;
+        let backlog = mix(self.load.backlog.as_secs_f64(), typical.backlog) + sent * hold;
+        let pace = self.load.pace.map_or(1.0, |pace| {
+            cost::aged_pace(pace, self.report_age(now).unwrap_or_default())
+        });
+        let excess = calls + 1.0 - limit;
+        let wait = if limit > 0.0 && excess > 0.0 {
+            // When the last call ahead starts, the other slots still hold calls.
+            let residual = RESIDUAL_FRACTION * self.load.hold_time.as_secs_f64();
+            let ahead = backlog - (limit - 1.0) * residual;
+            ahead.max(excess * residual) / limit * pace
+        } else {
+            0.0
+        };
+        Estimate {
+            wait: Duration::from_secs_f64(wait),
+            hold: Duration::from_secs_f64(hold * pace),
+            backlog: Duration::from_secs_f64(backlog),
+            pace,
+            free_slots: (limit - calls).max(0.0),
+        }
+    }
+
     /// Records that a call was sent there.
     pub fn call_sent(&mut self) {
         self.in_flight += 1;
@@ -311,7 +477,26 @@
     pub dependency_share: f64,
 }
 
-/// Picks the endpoint that is expected to respond first.
+impl Candidate<'_> {
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.target.is_some_and(|target| target.is_ejected(now))
+    }
+
+    /// Returns the time by which the endpoint must be faster than others to be picked.
+    fn penalty(&self, now: Instant, route: &Route, remote_penalty: Duration) -> Duration {
+        let accepted = self.target.map_or(1.0, |target| target.accepted(now));
+        let shortage = NO_HEADROOM_PENALTY_FRACTION * (1.0 - self.dependency_share);
+        let refused = REFUSAL_PENALTY_FRACTION * (1.0 - accepted);
+        let loss = route.objective.mul_f64(shortage + refused);
+        loss + if self.is_local {
+            Duration::ZERO
+        } else {
+            remote_penalty
+        }
+    }
+}
+
+/// Picks the endpoint that is expected to respond first, by load.
 ///
 /// The nested calls of a chain stay in the data centre of the endpoint, so an endpoint whose
 /// dependencies have little headroom there counts as slower. A remote endpoint must be faster by
@@ -324,30 +509,73 @@
     candidates: &[Candidate<'a>],
     random: usize,
 ) -> Option<&'a VmId> {
-    let ejected = |candidate: &Candidate<'_>| {
-        candidate
-            .target
-            .is_some_and(|target| target.is_ejected(now))
-    };
-    let any_available = candidates.iter().any(|candidate| !ejected(candidate));
+    let any_available = candidates
+        .iter()
+        .any(|candidate| !candidate.is_ejected(now));
     let count = candidates.len();
     (0..count)
         .map(|index| &candidates[(index + random) % count])
-        .filter(|candidate| !any_available || !ejected(candidate))
+        .filter(|candidate| !any_available || !candidate.is_ejected(now))
         .min_by_key(|candidate| {
             let time = candidate.target.map_or(Duration::ZERO, |target| {
                 target.expected_time(now, &route.name)
             });
-            let accepted = candidate.target.map_or(1.0, |target| target.accepted(now));
-            let shortage = NO_HEADROOM_PENALTY_FRACTION * (1.0 - candidate.dependency_share);
-            let refused = REFUSAL_PENALTY_FRACTION * (1.0 - accepted);
-            let loss = route.objective.mul_f64(shortage + refused);
-            time + loss
-                + if candidate.is_local {
-                    Duration::ZERO
-                } else {
-                    remote_penalty
-                }
+            time + candidate.penalty(now, route, remote_penalty)
         })
         .map(|candidate| candidate.vm)
 }
+
+/// Picks the endpoint that is expected to respond first, by cost; returns it with what the call is
+/// expected to find there.
+///
+/// Penalties and ejection are those of [`pick_endpoint`]. On the side of the border of the data
+/// centre where the best endpoint is, `random` chooses, weighted by free slots and by how little an
+/// endpoint is behind the best one: many entries see the same reports.
+#[must_use]
+pub fn pick_by_cost<'a>(
+    now: Instant,
+    route: &Route,
+    remote_penalty: Duration,
+    costs: &RouteCosts,
+    candidates: &[Candidate<'a>],
+    random: u32,
+) -> Option<(&'a VmId, Estimate)> {
+    let any_available = candidates
+        .iter()
+        .any(|candidate| !candidate.is_ejected(now));
+    let available = || {
+        candidates
+            .iter()
+            .filter(|candidate| !any_available || !candidate.is_ejected(now))
+    };
+    let cost = costs.mean(&route.name);
+    let typical = TypicalLoad::new(now, available().filter_map(|candidate| candidate.target));
+    let unknown = EndpointStats::default();
+    let mut scores = Vec::with_capacity(candidates.len());
+    scores.extend(available().map(|candidate| {
+        let target = candidate.target.unwrap_or(&unknown);
+        let estimate = target.estimate(now, cost, typical);
+        let penalty = candidate.penalty(now, route, remote_penalty);
+        let time = estimate.wait.mul_f64(WAIT_FACTOR) + estimate.hold + penalty;
+        (time, candidate, estimate)
+    }));
+    let (best, nearest, _) = *scores.iter().min_by_key(|(time, ..)| *time)?;
+    let uncertainty = cost.mul_f64(UNCERTAINTY_FRACTION).max(MIN_UNCERTAINTY);
+    let weight = |time: Duration, estimate: &Estimate| {
+        let behind = time.saturating_sub(best).as_secs_f64() / uncertainty.as_secs_f64();
+        (estimate.free_slots + 1.0) * (-behind).exp()
+    };
+    scores.retain(|(_, candidate, _)| candidate.is_local == nearest.is_local);
+    let total: f64 = scores
+        .iter()
+        .map(|(time, _, estimate)| weight(*time, estimate))
+        .sum();
+    let mut left = total * (f64::from(random) + 0.5) / (f64::from(u32::MAX) + 1.0);
+    let chosen = scores.iter().find(|(time, _, estimate)| {
+        left -= weight(*time, estimate);
+        left < 0.0
+    });
+    // Rounding may leave a remainder after the last one.
+    let (_, candidate, estimate) = chosen.or(scores.last())?;
+    Some((candidate.vm, *estimate))
+}
--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -4,11 +4,15 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 use super::{
-    Candidate, EndpointStats, FIRST_EJECTION_TIME, Headroom, Load, ResponseSizes, pick_endpoint,
+    Candidate, EndpointStats, FIRST_EJECTION_TIME, Headroom, Load, Placement, ResponseSizes,
+    TypicalLoad, pick_by_cost, pick_endpoint,
 };
+use crate::cost::RouteCosts;
 use crate::demand::ElasticRoom;
 use crate::id::VmId;
 use crate::routing::{RetrySafety, Route};
@@ -20,8 +24,7 @@
         calls,
         limit: 10,
         hold_time: MS * 50,
-        room: ElasticRoom::UNUSED,
-        accepted: 1.0,
+        ..Load::default()
     }
 }
 
@@ -322,3 +325,211 @@
         "{refused_fraction} of the calls were refused"
     );
 }
+
+/// A gate that states its pace.
+fn paced(calls: u32, backlog: Duration) -> Load {
+    Load {
+        calls,
+        limit: 10,
+        hold_time: MS * 50,
+        backlog,
+        pace: Some(1.0),
+        ..Load::default()
+    }
+}
+
+/// Creates the statistics of an endpoint with a speed, and records its samples in the costs.
+fn with_speed(now: Instant, costs: &mut RouteCosts, time: Duration) -> EndpointStats {
+    let mut stats = EndpointStats::default();
+    for _ in 0..100 {
+        stats.record_cost(now, costs, &"r".into(), time);
+    }
+    stats
+}
+
+fn local<'a>(vms: &'a [VmId], targets: &'a [EndpointStats]) -> Vec<Candidate<'a>> {
+    vms.iter()
+        .zip(targets)
+        .map(|(vm, target)| Candidate {
+            vm,
+            target: Some(target),
+            is_local: true,
+            dependency_share: 1.0,
+        })
+        .collect()
+}
+
+fn names(count: usize) -> Vec<VmId> {
+    (0..count).map(|vm| vm.to_string().into()).collect()
+}
+
+/// Returns how many of 1,000 picks by cost each endpoint gets.
+fn picks_by_cost(now: Instant, costs: &RouteCosts, candidates: &[Candidate<'_>]) -> Vec<u32> {
+    let mut counts = vec![0; candidates.len()];
+    for step in 0..1_000_u32 {
+        let random = step * (u32::MAX / 1_000);
+        let picked = pick_by_cost(now, &route(), MS * 60, costs, candidates, random);
+        let (vm, _) = picked.unwrap();
+        let index = candidates.iter().position(|candidate| candidate.vm == vm);
+        counts[index.unwrap()] += 1;
+    }
+    counts
+}
+
+/// Guards against other picks than before where no endpoint states a pace.
+#[test]
+fn endpoints_without_a_pace_are_picked_by_load() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(20);
+    let vms = names(6);
+    for _ in 0..300 {
+        let mut targets: Vec<EndpointStats> = (0..6).map(|_| EndpointStats::default()).collect();
+        for target in &mut targets {
+            target.record_load(now, load(rng.random_range(0..30)));
+            target.record_response(now, &"r".into(), MS * rng.random_range(1..90));
+        }
+        let mut candidates = local(&vms, &targets);
+        candidates[0].is_local = false;
+        assert!(!Placement::Auto.is_by_cost(&candidates));
+        assert!(!Placement::Load.is_by_cost(&candidates));
+        assert!(Placement::Cost.is_by_cost(&candidates));
+        let first: usize = rng.random_range(0..6);
+        let expected = (0..6)
+            .map(|index| &candidates[(index + first) % 6])
+            .min_by_key(|candidate| {
+                let time = candidate.target.unwrap().expected_time(now, &"r".into());
+                let penalty = if candidate.is_local { 0 } else { 60 };
+                time + MS * penalty
+            });
+        let picked = pick_endpoint(now, &route(), MS * 60, &candidates, first);
+        assert_eq!(picked, expected.map(|candidate| candidate.vm));
+        targets[3].record_load(now, paced(0, MS));
+        assert!(Placement::Auto.is_by_cost(&local(&vms, &targets)));
+    }
+}
+
+/// Guards against entries that all send to one endpoint because they saw the same reports, as they do
+/// by load.
+#[test]
+fn entries_with_the_same_old_reports_spread_their_calls() {
+    const ENTRIES: usize = 59;
+    let now = Instant::now();
+    let later = now + MS * 200;
+    let vms = names(17);
+    let mut rng = SmallRng::seed_from_u64(20);
+    let mut by_load = [0; 17];
+    let mut by_cost = [0; 17];
+    for _ in 0..ENTRIES {
+        let mut costs = RouteCosts::default();
+        let targets: Vec<EndpointStats> = (46..63)
+            .map(|time| {
+                let mut target = with_speed(now, &mut costs, MS * time);
+                target.record_response(now, &"r".into(), MS * time);
+                let load = paced(50, MS * 1_400);
+                target.record_load(now, Load { limit: 64, ..load });
+                target
+            })
+            .collect();
+        let candidates = local(&vms, &targets);
+        let index = |vm: &VmId| vm.parse::<usize>().unwrap();
+        for _ in 0..4 {
+            let random: u32 = rng.random();
+            let vm = pick_endpoint(later, &route(), MS, &candidates, random as usize);
+            by_load[index(vm.unwrap())] += 1;
+            let picked = pick_by_cost(later, &route(), MS, &costs, &candidates, random);
+            by_cost[index(picked.unwrap().0)] += 1;
+        }
+    }
+    assert_eq!(by_load.iter().max(), Some(&236), "{by_load:?}");
+    // 236 calls to 17 endpoints are 14 for each, and each has 14 free slots.
+    assert!(by_cost.iter().all(|calls| *calls < 50), "{by_cost:?}");
+}
+
+#[test]
+fn a_queue_of_long_calls_costs_more_than_one_of_short_calls() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [MS * 50, MS * 50].map(|time| with_speed(now, &mut costs, time));
+    targets[0].record_load(now, paced(20, MS * 4_000));
+    targets[1].record_load(now, paced(20, MS * 500));
+    let counts = picks_by_cost(now, &costs, &local(&names(2), &targets));
+    assert!(counts[1] > 950, "{counts:?}");
+}
+
+/// Guards against an endpoint without samples of a route that counts as if it took no time.
+#[test]
+fn a_route_never_sent_there_is_estimated_by_the_speed_of_the_endpoint() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [EndpointStats::default(), EndpointStats::default()];
+    for _ in 0..200 {
+        targets[0].record_cost(now, &mut costs, &"other".into(), MS * 10);
+        targets[1].record_cost(now, &mut costs, &"other".into(), MS * 20);
+    }
+    costs.record(&"r".into(), MS * 150);
+    let mut times = Vec::new();
+    for target in &mut targets {
+        target.record_load(now, paced(2, MS * 50));
+        let estimate = target.estimate(now, costs.mean(&"r".into()), TypicalLoad::default());
+        times.push(estimate.hold);
+    }
+    assert!(times[0] < MS * 115 && times[1] > MS * 180, "{times:?}");
+    let counts = picks_by_cost(now, &costs, &local(&names(2), &targets));
+    assert!(counts[0] > 900, "{counts:?}");
+}
+
+/// Guards against an endpoint that is not heard of and looks idle to all entries for that reason:
+/// its gate is frozen or cut off, or the entries have sent nothing there.
+#[test]
+fn an_old_report_counts_as_the_typical_load() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [MS * 50; 3].map(|time| with_speed(now, &mut costs, time));
+    targets[0].record_load(now, paced(40, MS * 1_800));
+    let later = now + MS * 3_000;
+    for target in &mut targets[1..] {
+        target.record_load(later, paced(20, MS * 800));
+    }
+    let counts = picks_by_cost(later, &costs, &local(&names(3), &targets));
+    assert!(counts[0] < 400, "{counts:?}");
+}
+
+/// Guards against failures that count as speed: a faulty endpoint fails at once.
+#[test]
+fn an_endpoint_that_fails_quickly_is_not_cheap() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [MS * 50, MS * 50].map(|time| with_speed(now, &mut costs, time));
+    for _ in 0..100 {
+        targets[0].record_response(now, &"r".into(), MS);
+    }
+    targets[0].record_load(now, paced(3, MS * 80));
+    targets[1].record_load(now, paced(3, MS * 80));
+    let counts = picks_by_cost(now, &costs, &local(&names(2), &targets));
+    assert!(counts[0].abs_diff(counts[1]) < 100, "{counts:?}");
+}
+
+/// Guards against calls to endpoints that are killed or that refuse, and against calls that leave
+/// the data centre without need.
+#[rstest]
+#[case::killed(|target: &mut EndpointStats, now| target.record_failure(now), true)]
+#[case::stopping(|target: &mut EndpointStats, now| target.eject_for(now, MS * 8_000), true)]
+#[case::refusing(|target: &mut EndpointStats, now| target.record_load(now, Load { accepted: 0.5, ..paced(3, MS * 80) }), true)]
+#[case::remote(|_: &mut EndpointStats, _| {}, false)]
+fn penalties_and_ejection_hold_by_cost(
+    #[case] change: fn(&mut EndpointStats, Instant),
+    #[case] is_local: bool,
+) {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    // The first endpoint would be the faster one.
+    let mut targets = [MS * 30, MS * 50].map(|time| with_speed(now, &mut costs, time));
+    for target in &mut targets {
+        target.record_load(now, paced(3, MS * 80));
+    }
+    change(&mut targets[0], now);
+    let vms = names(2);
+    let mut candidates = local(&vms, &targets);
+    candidates[0].is_local = is_local;
+    assert_eq!(picks_by_cost(now, &costs, &candidates), [0, 1_000]);
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use policy::clock::Clock;
+use policy::cost::RouteCosts;
 use policy::fleet::{Announcement, Fleet, InstanceId, State, VmEntry};
 use policy::id::{DataCentreName, Revision, ServiceName, VmId};
 use policy::position::Position;
@@ -71,6 +72,8 @@
     pub splitter: RefCell<WeightedSplitter>,
     /// Mean response sizes of the routes.
     pub sizes: RefCell<ResponseSizes>,
+    /// Mean costs of the routes.
+    pub costs: RefCell<RouteCosts>,
     /// Decides which new chains are admitted.
     pub throttle: RefCell<EntryThrottle>,
     /// Random numbers for retry delays and for choices between equal candidates.
@@ -142,6 +145,7 @@
             ),
             splitter: RefCell::new(WeightedSplitter::new(rng.random())),
             sizes: RefCell::default(),
+            costs: RefCell::default(),
             throttle: RefCell::new(EntryThrottle::new(rng.random())),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
@@ -446,6 +450,10 @@
 
     /// Updates the gauges.
     pub fn update_gauges(&self) {
+        let load = self.gate.load(self.clock.now());
+        let backlog = Duration::from_micros(u64::from(load.backlog_us));
+        self.metrics.backlog.set(backlog.as_secs_f64());
+        self.metrics.pace.set(i64::from(load.pace));
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics.store_calls.set(gauge(self.store.calls()));
         self.metrics.store_era.set(gauge(self.store.era()));
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -10,16 +10,19 @@
 use bytes::Bytes;
 use log::info;
 use policy::attempt::{AttemptFailure, Attempts, RetryDecision};
+use policy::fleet::VmEntry;
 use policy::id::{DataCentreName, OrganisationName, ServiceName, VmId};
 use policy::organisation::Organisation;
 use policy::routing::{RetrySafety, Route};
-use policy::selection::{self, Candidate};
+use policy::selection::{self, Candidate, Estimate};
 use policy::throttle::{ThrottleDecision, Usage};
 use rand::Rng;
 use tokio::sync::oneshot;
 
 use crate::daemon::Daemon;
-use crate::frame::{CallHead, CallHistory, CallKind, Load, NotRun, SHARE_SCALE, Unknown};
+use crate::frame::{
+    CallHead, CallHistory, CallKind, Load, NotRun, PACE_SCALE, SHARE_SCALE, Unknown,
+};
 use crate::gate::{Deadline, Job, JobId, NestedCall, Outcome, OutcomeSender};
 use crate::peer::SentCall;
 
@@ -392,7 +395,7 @@
         let mut attempts = Attempts::new(self.route);
         let mut last = Refusal::NoEndpoint;
         for _ in 0..MAX_GATES {
-            let Some(vm) = self.pick(&tried) else {
+            let Some((vm, estimate)) = self.pick(&tried) else {
                 break;
             };
             let history = CallHistory {
@@ -408,7 +411,7 @@
             let (outcome, load) = sent.outcome(self.deadline.at + OUTCOME_GRACE).await;
             drop(sent);
             let now = self.daemon.clock.now();
-            self.log_attempt(now, &vm, &outcome, load);
+            self.log_attempt(now, &vm, estimate, &outcome, load);
             self.record(now, &vm, &outcome, load);
             let failure = match outcome {
                 Outcome::Answered(response, body) => {
@@ -458,7 +461,14 @@
     }
 
     /// Logs why an attempt failed.
-    fn log_attempt(&self, now: Instant, vm: &VmId, outcome: &Outcome, load: Load) {
+    fn log_attempt(
+        &self,
+        now: Instant,
+        vm: &VmId,
+        estimate: Option<Estimate>,
+        outcome: &Outcome,
+        load: Load,
+    ) {
         let reason = match outcome {
             Outcome::Answered(..) => return,
             Outcome::NotRun(reason) => format!("{reason:?}"),
@@ -466,7 +476,11 @@
         };
         if self.daemon.log_limiter.allows(now, "attempt_failed") {
             let age = now.saturating_duration_since(self.arrived).as_millis() as u64;
-            info!(event = "attempt_failed", id = &*self.request.id, service = &*self.service, vm = &**vm, reason = &*reason, age_ms = age, calls = load.calls, limit = load.limit; "");
+            let expected = estimate.map(|estimate| estimate.wait + estimate.hold);
+            let ms = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+            let backlog = estimate.map(|estimate| estimate.backlog);
+            let pace = estimate.map(|estimate| (estimate.pace * PACE_SCALE) as u64);
+            info!(event = "attempt_failed", id = &*self.request.id, service = &*self.service, vm = &**vm, reason = &*reason, age_ms = age, calls = load.calls, limit = load.limit, expected_ms = ms(expected), backlog_ms = ms(backlog), pace = pace; "");
         }
     }
 
@@ -477,8 +491,9 @@
         }
     }
 
-    /// Picks the VM for the next attempt, apart from those that were tried.
-    fn pick(&self, tried: &[VmId]) -> Option<VmId> {
+    /// Picks the VM for the next attempt, apart from those that were tried; returns it with what
+    /// the call is expected to find there, if it was picked by cost.
+    fn pick(&self, tried: &[VmId]) -> Option<(VmId, Option<Estimate>)> {
         let now = self.daemon.clock.now();
         let fleet = self.daemon.fleet.borrow();
         let vms = fleet.ready(&self.service);
@@ -499,6 +514,12 @@
                 .map(|headroom| headroom.share)
                 .fold(1.0, f64::min)
         };
+        for (vm, peer) in &peers {
+            if let Some(VmEntry { endpoint, .. }) = fleet.get(vm) {
+                let mut stats = peer.stats.borrow_mut();
+                stats.follow_instance(now, &endpoint.instance, endpoint.started_ms);
+            }
+        }
         // The headroom of a data centre is a sum over its endpoints, so it is computed once for
         // each.
         let mut shares: BTreeMap<&DataCentreName, f64> = BTreeMap::new();
@@ -516,7 +537,7 @@
                 })
             })
             .collect();
-        let random = self.daemon.rng.borrow_mut().random::<u32>() as usize;
+        let random: u32 = self.daemon.rng.borrow_mut().random();
         let penalty = self.daemon.sizes.borrow().remote_penalty(self.route);
         // A chain makes its nested calls one after another, so their waiting times add up.
         let penalty = if self.nested.is_some() {
@@ -524,7 +545,18 @@
         } else {
             penalty
         };
-        selection::pick_endpoint(now, self.route, penalty, &candidates, random).cloned()
+        let placement = self.daemon.settings.borrow().placement;
+        let picks = |rule| self.daemon.metrics.picks.with_label_values(&[rule]).inc();
+        if placement.is_by_cost(&candidates) {
+            picks("cost");
+            let costs = self.daemon.costs.borrow();
+            return selection::pick_by_cost(now, self.route, penalty, &costs, &candidates, random)
+                .map(|(vm, estimate)| (VmId::clone(vm), Some(estimate)));
+        }
+        picks("load");
+        let random = random as usize;
+        selection::pick_endpoint(now, self.route, penalty, &candidates, random)
+            .map(|vm| (VmId::clone(vm), None))
     }
 
     /// Sends the call to the gate of a VM; returns `None` if the connection takes no more.
@@ -589,6 +621,10 @@
             Outcome::Answered(response, _) => {
                 let hold_time = Duration::from_micros(response.held_us);
                 stats.record_response(now, &self.route.name, hold_time);
+                if (200..300).contains(&response.status) {
+                    let mut costs = self.daemon.costs.borrow_mut();
+                    stats.record_cost(now, &mut costs, &self.route.name, hold_time);
+                }
             }
             // A broken connection has been recorded by the peer, and a damaged response is no
             // reason to eject the endpoint.
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -51,8 +51,16 @@
     pub demand: u32,
     /// Fraction of the calls that the endpoint does not refuse, in thousandths.
     pub accepted: u16,
+    /// Slot time that its calls still need, in microseconds.
+    pub backlog_us: u32,
+    /// Time that work takes at present, in percent of the usual one there; 0 if the endpoint states
+    /// none.
+    pub pace: u16,
 }
 
+/// Factor from a relative pace to its value on the wire, which is in percent.
+pub const PACE_SCALE: f64 = 100.0;
+
 impl From<Load> for selection::Load {
     fn from(load: Load) -> Self {
         Self {
@@ -64,6 +72,8 @@
                 demand: f64::from(load.demand),
             },
             accepted: f64::from(load.accepted) / SHARE_SCALE,
+            backlog: Duration::from_micros(u64::from(load.backlog_us)),
+            pace: (load.pace > 0).then(|| f64::from(load.pace) / PACE_SCALE),
         }
     }
 }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -9,10 +9,11 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use adapter::request::{self, ForwardedRequest};
-use adapter::response::{RunStatus, Statement};
+use adapter::response::{self, RunStatus, Statement};
 use bytes::Bytes;
 use log::info;
 use policy::clock::Clock;
+use policy::cost::{Backlog, HoldTime, PaceMeter};
 use policy::demand::{self, DemandClass, DemandEstimator, ElasticRoom};
 use policy::fleet::{Announcement, InstanceId, State};
 use policy::id::{OrganisationName, ServiceName};
@@ -26,7 +27,8 @@
 use crate::daemon::Daemon;
 use crate::endpoint::{Exchange, Outgoing, Pool};
 use crate::frame::{
-    CallHead, CallHistory, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown,
+    CallHead, CallHistory, Frame, Load, NotRun, PACE_SCALE, ResponseHead, SHARE_SCALE, StreamId,
+    Unknown,
 };
 use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
@@ -290,6 +292,10 @@
     active: RefCell<HashMap<JobId, ActiveJob>>,
     /// What the endpoint's runs have shown, by route.
     progress: RefCell<Progress>,
+    /// Slot time that queued and running calls still need.
+    backlog: RefCell<Backlog>,
+    /// Pace of the machine, as the endpoint's responses state it.
+    pace: Cell<PaceMeter>,
     /// This gate's part of the retry budget of its service.
     budget: RefCell<RetryBudget>,
     pool: Rc<Pool>,
@@ -322,6 +328,8 @@
             queue: RefCell::new(EndpointQueue::new(1)),
             active: RefCell::new(HashMap::new()),
             progress: RefCell::default(),
+            backlog: RefCell::default(),
+            pace: Cell::default(),
             budget: RefCell::new(RetryBudget::new(bound, now)),
             pool: Rc::new(Pool::new(address)),
             parents: RefCell::new(HashMap::new()),
@@ -369,8 +377,9 @@
 
     /// Returns the load of the endpoint.
     #[must_use]
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now: Instant) -> Load {
         let queue = self.queue.borrow();
+        let backlog = self.backlog.borrow().total(now).as_micros();
         let (limit, hold_time) = queue.capacity();
         Load {
             calls: (queue.running() + queue.waiting()) as u32,
@@ -379,9 +388,25 @@
             room: self.room.get().room as u32,
             demand: self.room.get().demand as u32,
             accepted: (self.accepted.get() * SHARE_SCALE) as u16,
+            backlog_us: u32::try_from(backlog).unwrap_or(u32::MAX),
+            pace: self
+                .pace
+                .get()
+                .pace()
+                .map_or(0, |pace| (pace * PACE_SCALE).max(1.0) as u16),
         }
     }
 
+    /// Returns the time for which calls of a route hold a slot; that of all routes if nothing is
+    /// known of the route.
+    fn hold_time(&self, route: &str) -> HoldTime {
+        let known = self.progress.borrow().hold_time(route);
+        known.unwrap_or_else(|| HoldTime {
+            mean: self.queue.borrow().mean_hold_time(),
+            deviation: Duration::ZERO,
+        })
+    }
+
     /// Returns the running parent of a nested call. The id of a nested call is that of its parent
     /// with a dot and a suffix.
     ///
@@ -437,7 +462,7 @@
         loop {
             tokio::time::sleep(DEMAND_UPDATE_INTERVAL).await;
             let now = daemon.clock.now();
-            let load: selection::Load = self.load().into();
+            let load: selection::Load = self.load(now).into();
             let mut demand = self.demand.borrow_mut();
             demand.adjust(self.queue.borrow().next_wait(now), load.hold_time);
             let room = demand.room(now, load.capacity());
@@ -446,7 +471,7 @@
             let share = (room.share() * SHARE_SCALE) as u16;
             self.accepted
                 .set(1.0 - (1.0 - self.accepted.get()) * (1.0 - REFUSAL_DECAY_FRACTION));
-            let load = self.load();
+            let load = self.load(now);
             let usable = share.min(load.accepted).min(FULL_SHARE);
             let changed = usable.abs_diff(sent.0) >= MIN_SHARE_CHANGE;
             let resend = (usable < FULL_SHARE || share < MAX_SHARE)
@@ -488,6 +513,7 @@
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
         let min_time = self.progress.borrow().lower_bound(&job.call.kind.route);
+        let hold_time = self.hold_time(&job.call.kind.route);
         let queued_call = QueuedCall {
             // Nested calls go before new chains of the same rank.
             rank: (job.call.kind.rank.saturating_mul(2))
@@ -501,6 +527,7 @@
         match enqueued {
             EnqueueOutcome::Start((id, job)) => self.start(daemon, id, job),
             EnqueueOutcome::Waiting(waiting) => {
+                self.backlog.borrow_mut().record_waiting(id, hold_time);
                 let active = ActiveJob {
                     stage: Stage::Waiting(waiting),
                     idempotent,
@@ -529,12 +556,15 @@
                 let job = self.queue.borrow_mut().cancel(*waiting);
                 active.remove(&id);
                 drop(active);
+                self.backlog.borrow_mut().record_end(id);
                 if let Some((_, job)) = job {
                     if job.call.history.retry {
                         self.budget.borrow_mut().give_back();
                     }
-                    job.sender
-                        .send(Outcome::NotRun(NotRun::Cancelled), self.load());
+                    job.sender.send(
+                        Outcome::NotRun(NotRun::Cancelled),
+                        self.load(daemon.clock.now()),
+                    );
                 }
             }
             Stage::Running(handle) if found.idempotent => {
@@ -542,6 +572,7 @@
                 self.parents.borrow_mut().remove(&found.call_id);
                 active.remove(&id);
                 drop(active);
+                self.backlog.borrow_mut().record_end(id);
                 let hold_time = self.queue.borrow().mean_hold_time();
                 self.queue.borrow_mut().finish(hold_time);
                 self.start_queued(daemon);
@@ -577,6 +608,7 @@
                 let mut queue = self.queue.borrow_mut();
                 queue.clear_rate_limit();
                 queue.set_unproven(false);
+                self.pace.take();
                 true
             }
         };
@@ -732,11 +764,20 @@
             .log_limiter
             .allows(daemon.clock.now(), "gate_refused")
         {
-            let load = self.load();
+            let load = self.load(daemon.clock.now());
             let left = job.deadline.left(daemon.clock.now(), daemon.clock.boot());
             info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.kind.route, reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
         }
-        job.sender.send(Outcome::NotRun(reason), self.load());
+        let load = self.load(daemon.clock.now());
+        job.sender.send(Outcome::NotRun(reason), load);
+    }
+
+    /// Records the pace that the endpoint states in a response.
+    fn record_pace(&self, now: Instant, load: Option<response::Load>) {
+        let mut meter = self.pace.get();
+        let hold_time = self.queue.borrow().mean_hold_time();
+        meter.record(now, load.and_then(|load| load.pace), hold_time);
+        self.pace.set(meter);
     }
 
     /// Applies what the endpoint states in a response.
@@ -752,7 +793,7 @@
             let limit = statement.rate_limit.unwrap_or(NO_RATE_LIMIT);
             daemon.metrics.rate_limit.set(limit);
             if daemon.log_limiter.allows(now, "endpoint_rate_limit") {
-                let load = self.load();
+                let load = self.load(now);
                 info!(event = "endpoint_rate_limit", limit = limit, before = before.rate_limit.unwrap_or(NO_RATE_LIMIT), sent = sent, calls = load.calls, slots = load.limit; "");
             }
         }
@@ -782,6 +823,10 @@
     }
 
     fn start(&self, daemon: &Rc<Daemon>, id: JobId, job: Job) {
+        let hold_time = self.hold_time(&job.call.kind.route);
+        let mut backlog = self.backlog.borrow_mut();
+        backlog.record_start(daemon.clock.now(), id, hold_time);
+        drop(backlog);
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
         let parent = Rc::new(ParentCall::new(&job));
@@ -810,6 +855,7 @@
         mut outcome: Outcome,
     ) {
         self.active.borrow_mut().remove(&id);
+        self.backlog.borrow_mut().record_end(id);
         let parent = self.parents.borrow_mut().remove(&job.call.id);
         let now = daemon.clock.now();
         let hold_time = now.saturating_duration_since(started);
@@ -847,7 +893,7 @@
                 {
                     info!(event = "endpoint_failed", id = &*job.call.id, route = &*job.call.kind.route, instance = &*job.call.kind.instance, reason:? = reason, held_ms = hold_time.as_millis() as u64; "");
                 }
-                job.sender.send(outcome, self.load());
+                job.sender.send(outcome, self.load(now));
             }
         }
     }
@@ -878,6 +924,7 @@
             };
             for (id, job) in jobs {
                 self.active.borrow_mut().remove(&id);
+                self.backlog.borrow_mut().record_end(id);
                 self.refuse(daemon, job, reason);
             }
             // A rate limit lets calls start although none has finished.
@@ -924,6 +971,7 @@
                 && daemon.gate.incarnation() == incarnation
             {
                 daemon.gate.apply_statement(daemon, response.statement);
+                daemon.gate.record_pace(daemon.clock.now(), response.load);
             }
             match response.run_status {
                 RunStatus::Ran => {}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -30,6 +30,12 @@
     pub sent: IntCounter,
     /// Calls per second that the endpoint takes, as it states; -1 without a limit.
     pub rate_limit: Gauge,
+    /// Picks of an endpoint, by rule.
+    pub picks: IntCounterVec,
+    /// Slot time that the calls at the gate still need, in seconds.
+    pub backlog: Gauge,
+    /// Pace of the endpoint's machine in percent of its usual one; 0 if it states none.
+    pub pace: IntGauge,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -85,6 +91,12 @@
         .expect("names of metrics are valid");
         rate_limit.set(NO_RATE_LIMIT);
         register(&registry, rate_limit.clone());
+        let backlog = Gauge::new(
+            "sapphiredoor_gate_backlog_seconds",
+            "Slot time that the calls at the gate still need",
+        )
+        .expect("names of metrics are valid");
+        register(&registry, backlog.clone());
         Self {
             calls: counters(
                 "sapphiredoor_calls_total",
@@ -96,6 +108,15 @@
                 "Calls that the gate refused",
                 &["reason"],
             ),
+            picks: counters(
+                "sapphiredoor_picks_total",
+                "Picks of an endpoint",
+                &["rule"],
+            ),
+            pace: gauge(
+                "sapphiredoor_endpoint_pace",
+                "Time that work takes in percent of the usual one; 0 if not stated",
+            ),
             store_calls: gauge(
                 "sapphiredoor_store_calls",
                 "Calls to the store since the start",
@@ -117,6 +138,7 @@
             retries,
             sent,
             rate_limit,
+            backlog,
             registry,
         }
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -8,6 +8,7 @@
 
 use policy::id::{DataCentreName, ServiceName, VmId};
 use policy::retry::RetryBound;
+use policy::selection::Placement;
 use serde::Deserialize;
 
 #[cfg(test)]
@@ -33,6 +34,9 @@
     pub store: StoreSettings,
     /// Bounds set by the operators.
     pub bounds: BoundSettings,
+    /// Rule by which endpoints are picked.
+    #[serde(default)]
+    pub placement: Placement,
 }
 
 /// Settings of the local endpoint.
--- a/crates/sidecar/src/settings/tests.rs
+++ b/crates/sidecar/src/settings/tests.rs
@@ -1,6 +1,7 @@
 //! Guards against a start with invalid settings, and against messages that do not state the remedy.
 
 use expect_test::expect;
+use policy::selection::Placement;
 
 use super::Settings;
 use crate::testing::SETTINGS as VALID;
@@ -14,6 +15,10 @@
     let settings = Settings::parse(VALID).unwrap();
     assert_eq!(&*settings.vm, "vm-1");
     assert_eq!(settings.bounds.grace().as_secs(), 6);
+    assert_eq!(settings.placement, Placement::Auto);
+    let by_load = VALID.replace("\"seeds\":", "\"placement\": \"load\", \"seeds\":");
+    let settings = Settings::parse(&by_load).unwrap();
+    assert_eq!(settings.placement, Placement::Load);
 }
 
 #[test]
@@ -22,6 +27,6 @@
         .assert_eq(&error(&VALID.replace("\"grace_s\": 6", "\"grace_s\": 0")));
     expect!["the settings have an invalid field: .: missing field `vm`"]
         .assert_eq(&error(&VALID.replace("\"vm\": \"vm-1\",", "")));
-    expect!["the settings have an invalid field: colour: unknown field `colour`, expected one of `vm`, `data_centre`, `endpoint`, `listen`, `seeds`, `store`, `bounds`"]
+    expect!["the settings have an invalid field: colour: unknown field `colour`, expected one of `vm`, `data_centre`, `endpoint`, `listen`, `seeds`, `store`, `bounds`, `placement`"]
         .assert_eq(&error(&VALID.replace("\"vm\":", "\"colour\": 1, \"vm\":")));
 }
