Let local endpoints share calls with a better remote one

Cause: once a remote endpoint was better by the penalty, only remote ones took part in the random choice, so an entry changed sides with all calls. Own calls at a gate that no longer reports lost weight with its last report.

Change: local endpoints take part when the best one is remote. The calls at an endpoint are at least the own ones in flight.

--- a/crates/policy/examples/placement.rs
+++ b/crates/policy/examples/placement.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 
 const ENTRIES: usize = 59;
+const DATA_CENTRES: usize = 4;
 const LATENCY: Duration = Duration::from_micros(900);
 const WARM_UP: Duration = Duration::from_secs(6);
 const TIME: Duration = Duration::from_secs(16);
@@ -34,6 +35,9 @@
     /// Routes, called equally often: work and nested time in seconds.
     routes: &'static [(f64, f64)],
     objective: Duration,
+    /// Time by which a remote endpoint must be faster, if entries and endpoints are spread over
+    /// [`DATA_CENTRES`].
+    remote_penalty: Option<Duration>,
     /// Mean time between changes of a machine's pace, and the range of the pace.
     pace: (f64, f64, f64),
 }
@@ -202,16 +206,16 @@
             .map(|index| Candidate {
                 vm: &self.vms[*index],
                 target: Some(&self.stats[entry][*index]),
-                is_local: true,
+                is_local: !self.is_remote(entry, *index),
                 dependency_share: 1.0,
             })
             .collect();
         let (now, route, costs) = (self.now, &self.routes[route], &self.costs[entry]);
-        let none = Duration::ZERO;
+        let penalty = self.service.remote_penalty.unwrap_or_default();
         let vm = match self.rule.measure {
-            Measure::Load => pick_endpoint(now, route, none, &candidates, random as usize),
+            Measure::Load => pick_endpoint(now, route, penalty, &candidates, random as usize),
             Measure::Cost => {
-                pick_by_cost(now, route, none, costs, &candidates, random).map(|(vm, _)| vm)
+                pick_by_cost(now, route, penalty, costs, &candidates, random).map(|(vm, _)| vm)
             }
             measure => {
                 let key = |index: &&usize| {
@@ -230,6 +234,11 @@
         vm.and_then(|vm| vm.parse().ok()).unwrap_or(0)
     }
 
+    fn is_remote(&self, entry: usize, endpoint: usize) -> bool {
+        let differ = entry % DATA_CENTRES != endpoint % DATA_CENTRES;
+        differ && self.service.remote_penalty.is_some()
+    }
+
     fn start(&mut self, id: usize) {
         let work = self.draw_work();
         let call = &mut self.calls[id];
@@ -323,7 +332,8 @@
         }
     }
 
-    /// Runs at a utilisation; prints mean, 99th percentile and share of calls in time.
+    /// Runs at a utilisation; returns mean, 99th percentile, share of calls in time and, in brackets,
+    /// share of remote calls.
     fn run(mut self, utilisation: f64) -> String {
         let work = |speed: &f64| {
             let routes = self.service.routes;
@@ -355,16 +365,19 @@
             self.now = at;
             self.handle(self.bodies[index], rate);
         }
-        let mut times = self.times.split_off(counted);
+        let mut times = std::mem::take(&mut self.times).split_off(counted);
         times.sort_unstable();
         let mean = times.iter().sum::<Duration>() / times.len() as u32;
         let last = times[times.len() * 99 / 100];
         let in_time = times.partition_point(|time| *time <= self.service.objective);
         let share = in_time as f64 / times.len() as f64;
+        let is_remote = |call: &&Call| self.is_remote(call.entry, call.endpoint);
+        let remote = self.calls.iter().filter(is_remote).count();
         format!(
-            "{:.1} {:.1} {share:.3}",
+            "{:.1} {:.1} {share:.3} ({:.2})",
             mean.as_secs_f64() * 1e3,
-            last.as_secs_f64() * 1e3
+            last.as_secs_f64() * 1e3,
+            remote as f64 / self.calls.len() as f64
         )
     }
 }
@@ -378,6 +391,7 @@
         slots: 122,
         routes: &[(0.1, 0.0)],
         objective: Duration::from_secs(1),
+        remote_penalty: None,
         pace: (0.0, 1.0, 1.0),
     };
     let rules = [Measure::Load, Measure::Cost].map(|measure| Rule {
@@ -435,9 +449,10 @@
         slots: 68,
         routes: &[(0.036, 0.022)],
         objective: Duration::from_millis(150),
+        remote_penalty: None,
         pace,
     };
-    let services = [
+    let mut services = [
         stempel("stempel", (0.5, 0.7, 1.3)),
         stempel("stempel, pace changes every 50 ms", (0.05, 0.7, 1.3)),
         stempel("stempel, pace changes every 5 s", (5.0, 0.7, 1.3)),
@@ -447,6 +462,7 @@
             slots: 122,
             routes: &[(0.12, 0.04)],
             objective: Duration::from_millis(600),
+            remote_penalty: None,
             pace: (0.5, 0.7, 1.3),
         },
         Service {
@@ -455,26 +471,35 @@
             slots: 29,
             routes: &[(0.33, 0.0), (0.025, 0.0)],
             objective: Duration::from_secs(1),
+            remote_penalty: None,
             pace: (0.5, 0.7, 1.3),
         },
     ];
-    for service in &services {
-        println!(
-            "{}: mean ms, 99th percentile ms, share in time at {UTILISATIONS:?}",
-            service.name
-        );
-        for measure in [
-            Measure::Load,
-            Measure::Outstanding,
-            Measure::Work,
-            Measure::Cost,
-        ] {
-            for two in [false, true] {
-                let rule = Rule { measure, two };
-                let results = UTILISATIONS.map(|level| World::new(service, rule).run(level));
-                let of = if two { ", two choices" } else { "" };
-                println!("| {measure:?}{of} | {} |", results.join(" | "));
-            }
+    // Nested calls to a service with an objective of 150 ms have a penalty of 15 ms.
+    for spread in [None, Some(Duration::from_millis(15))] {
+        for service in &mut services {
+            service.remote_penalty = spread;
+            compare(service, spread.is_some());
+        }
+    }
+}
+
+/// Prints the results of all rules, or only of the daemon's own ones.
+fn compare(service: &Service, only_own: bool) {
+    println!(
+        "{}, remote penalty {:?}: mean ms, 99th percentile ms, share in time (remote calls) at {UTILISATIONS:?}",
+        service.name, service.remote_penalty
+    );
+    let own = [Measure::Load, Measure::Cost];
+    let others = [Measure::Outstanding, Measure::Work];
+    let others = others.iter().filter(|_| !only_own);
+    for measure in own.iter().chain(others) {
+        for two in [false, true].into_iter().filter(|two| !(*two && only_own)) {
+            let measure = *measure;
+            let rule = Rule { measure, two };
+            let results = UTILISATIONS.map(|level| World::new(service, rule).run(level));
+            let of = if two { ", two choices" } else { "" };
+            println!("| {measure:?}{of} | {} |", results.join(" | "));
         }
     }
 }
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -297,6 +297,7 @@
         let sent = f64::from(self.in_flight.saturating_sub(self.in_flight_at_report));
         let mix = |reported, typical| weight * reported + (1.0 - weight) * typical * limit;
         let calls = mix(f64::from(self.load.calls), typical.calls) + sent;
+        let calls = calls.max(f64::from(self.in_flight));
         let backlog = mix(self.load.backlog.as_secs_f64(), typical.backlog) + sent * hold;
         let pace = self.load.pace.map_or(1.0, |pace| {
             cost::aged_pace(pace, self.report_age(now).unwrap_or_default())
@@ -528,9 +529,9 @@
 /// Picks the endpoint that is expected to respond first, by cost; returns it with what the call is
 /// expected to find there.
 ///
-/// Penalties and ejection are those of [`pick_endpoint`]. On the side of the border of the data
-/// centre where the best endpoint is, `random` chooses, weighted by free slots and by how little an
-/// endpoint is behind the best one: many entries see the same reports.
+/// Penalties and ejection are those of [`pick_endpoint`]. `random` chooses, weighted by free slots and
+/// by how little an endpoint is behind the best one: many entries see the same reports. Remote
+/// endpoints take part only if the best one is remote.
 #[must_use]
 pub fn pick_by_cost<'a>(
     now: Instant,
@@ -565,7 +566,7 @@
         let behind = time.saturating_sub(best).as_secs_f64() / uncertainty.as_secs_f64();
         (estimate.free_slots + 1.0) * (-behind).exp()
     };
-    scores.retain(|(_, candidate, _)| candidate.is_local == nearest.is_local);
+    scores.retain(|(_, candidate, _)| candidate.is_local || !nearest.is_local);
     let total: f64 = scores
         .iter()
         .map(|(time, _, estimate)| weight(*time, estimate))
--- a/crates/policy/src/selection/tests.rs
+++ b/crates/policy/src/selection/tests.rs
@@ -494,6 +494,20 @@
     assert!(counts[0] < 400, "{counts:?}");
 }
 
+/// Guards against calls to a gate that is cut off or frozen and still has many of this entry's calls.
+#[test]
+fn own_calls_in_flight_count_although_the_report_is_old() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [MS * 50, MS * 50].map(|time| with_speed(now, &mut costs, time));
+    (0..40).for_each(|_| targets[0].call_sent());
+    targets[0].record_load(now, paced(40, MS * 1_800));
+    let later = now + MS * 5_000;
+    targets[1].record_load(later, paced(3, MS * 80));
+    let counts = picks_by_cost(later, &costs, &local(&names(2), &targets));
+    assert!(counts[0] < 10, "{counts:?}");
+}
+
 /// Guards against failures that count as speed: a faulty endpoint fails at once.
 #[test]
 fn an_endpoint_that_fails_quickly_is_not_cheap() {
@@ -533,3 +547,24 @@
     candidates[0].is_local = is_local;
     assert_eq!(picks_by_cost(now, &costs, &candidates), [0, 1_000]);
 }
+
+/// Guards against entries of one data centre that change sides all at once, and against traffic
+/// between data centres that gains little.
+#[test]
+fn a_remote_endpoint_gets_part_of_the_calls_when_it_is_slightly_better() {
+    let now = Instant::now();
+    let mut costs = RouteCosts::default();
+    let mut targets = [EndpointStats::default(), EndpointStats::default()];
+    // With the penalty of 60 ms the remote one takes 125 ms.
+    for _ in 0..400 {
+        for (target, time) in targets.iter_mut().zip([MS * 65, MS * 135]) {
+            target.record_cost(now, &mut costs, &"r".into(), time);
+            target.record_load(now, paced(3, MS * 80));
+        }
+    }
+    let vms = names(2);
+    let mut candidates = local(&vms, &targets);
+    candidates[0].is_local = false;
+    let counts = picks_by_cost(now, &costs, &candidates);
+    assert!(counts[0] > 500 && counts[1] > 100, "{counts:?}");
+}
