Order waiting calls in fair shares of organisations

Cause: the queue of a gate serves organisations in proportion to what they send. One that sends 7.5 times its usual rate makes all others wait and lose calls.

Change: within a rank, the organisation with the least service goes next (start-time fair queueing by the expected hold time of a call). Calls at the end of the fair order are refused as not run when they become late. The wait of a call follows from the calls ahead of it and from the pace of the virtual time, which accounts for calls that arrive later and go ahead. Without organisations the order is the earlier one; a test plays random histories through both.

The queued calls in the tests of the queue and in the histories get the two new fields; no expectation in them has changed.

--- a/crates/policy/src/organisation.rs
+++ b/crates/policy/src/organisation.rs
@@ -14,6 +14,10 @@
 #[cfg(test)]
 mod tests;
 
+/// Largest number of organisations for which a part of a daemon keeps state. The one that was idle
+/// for the longest time is forgotten first.
+pub const MAX_TRACKED: usize = 1_024;
+
 /// SHA-256 digest of a key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
--- a/crates/policy/src/progress.rs
+++ b/crates/policy/src/progress.rs
@@ -52,6 +52,12 @@
             .map_or(Duration::ZERO, |known| known.time.lower_bound())
     }
 
+    /// Returns the mean time of a run of a route; `None` for a route without complete runs.
+    #[must_use]
+    pub fn mean(&self, route: &str) -> Option<Duration> {
+        self.0.get(route)?.time.mean()
+    }
+
     /// Returns the time that a run still needs after its `made`-th nested call; zero for a route
     /// without complete runs.
     #[must_use]
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -2,15 +2,22 @@
 //!
 //! Protects an endpoint against more load than it has slots for. Every call to the endpoint passes
 //! this queue, so rank and deadline are enforced in one place. Calls start by rank and, within a
-//! rank, by the time that their chain still needs and by deadline: under overload that completes
-//! the most chains. A call that would miss its deadline behind the calls ahead of it is refused
-//! early, while the caller can still use the refusal.
+//! rank, in fair shares of their organisations (see [`fair_queue`](crate::fair_queue)). Those of one
+//! organisation, and all calls where there are none, start by the time that their chain still needs
+//! and by deadline: under overload that completes the most chains. A call that would miss its
+//! deadline behind the calls ahead of it is refused early, while the caller can still use the
+//! refusal. A call that goes ahead of others displaces the last ones, which belong to the
+//! organisations with the longest queues.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::fair_queue::{FairQueue, Position};
+use crate::held_back::{HeldBack, HeldChange};
+use crate::id::OrganisationName;
 use crate::rate_limit::RateLimiter;
 
+#[cfg(test)]
+mod reference_tests;
 #[cfg(test)]
 mod tests;
 
@@ -37,9 +44,6 @@
 /// endpoint takes this many beyond its rate limit.
 pub const MAX_UNPROVEN_CALLS: usize = 5;
 
-/// Position in the queue: rank, remaining time of the chain, deadline, order of arrival.
-type QueueKey = (u32, Duration, Instant, WaitingId);
-
 /// A call that requests a slot.
 #[derive(Debug)]
 pub struct QueuedCall<T> {
@@ -51,6 +55,10 @@
     pub deadline: Instant,
     /// Shortest time in which the endpoint is expected to respond.
     pub min_time: Duration,
+    /// Organisation that sent its chain, if there are organisations.
+    pub organisation: Option<OrganisationName>,
+    /// Time for which it is expected to hold a slot.
+    pub cost: Duration,
     /// The call, returned when it starts or leaves the queue otherwise.
     pub call: T,
 }
@@ -77,8 +85,8 @@
     running: usize,
     mean_hold_time: Duration,
     next_id: WaitingId,
-    waiting: BTreeMap<QueueKey, QueuedCall<T>>,
-    keys: BTreeMap<WaitingId, QueueKey>,
+    waiting: FairQueue<T>,
+    held_back: HeldBack,
 }
 
 impl<T> EndpointQueue<T> {
@@ -92,8 +100,8 @@
             running: 0,
             mean_hold_time: INITIAL_HOLD_TIME,
             next_id: 0,
-            waiting: BTreeMap::new(),
-            keys: BTreeMap::new(),
+            waiting: FairQueue::default(),
+            held_back: HeldBack::default(),
         };
         queue.set_slots(slots);
         queue
@@ -167,23 +175,29 @@
     pub fn enqueue(&mut self, now: Instant, queued: QueuedCall<T>) -> EnqueueOutcome<T> {
         if self.may_start(now) && self.waiting.is_empty() {
             self.record_start(now);
+            let organisation = queued.organisation.as_ref();
+            self.waiting.charge(queued.rank, organisation, queued.cost);
             return EnqueueOutcome::Start(queued.call);
         }
-        let key = (queued.rank, queued.remaining, queued.deadline, self.next_id);
-        let ahead = self.waiting.range(..key).count();
-        if self.would_miss_deadline(now, ahead, &queued) {
+        let id = self.next_id;
+        let position = self.waiting.position(id, &queued);
+        if self.would_miss_deadline(now, position, &queued) {
+            self.held_back.record(now, queued.organisation.as_ref());
             return EnqueueOutcome::Refused(queued.call);
         }
         self.next_id += 1;
-        self.keys.insert(key.3, key);
-        self.waiting.insert(key, queued);
-        EnqueueOutcome::Waiting(key.3)
+        self.waiting.insert(now, id, queued);
+        EnqueueOutcome::Waiting(id)
     }
 
     /// Removes a waiting call so that it never starts.
     pub fn cancel(&mut self, id: WaitingId) -> Option<T> {
-        let key = self.keys.remove(&id)?;
-        self.waiting.remove(&key).map(|queued| queued.call)
+        self.waiting.remove(id).map(|queued| queued.call)
+    }
+
+    /// Returns which organisations have started or ceased to be held back since the last call.
+    pub fn held_changes(&mut self, now: Instant) -> Vec<HeldChange> {
+        self.held_back.changes(now)
     }
 
     /// Frees the slot of a finished call and records how long the call held it.
@@ -201,35 +215,30 @@
         if !self.may_start(now) {
             return None;
         }
-        let key = self
+        let next = self
             .waiting
-            .iter()
-            .find(|(_, queued)| now + queued.min_time < queued.deadline)
-            .map(|(key, _)| *key)?;
+            .take_next(now, |queued| now + queued.min_time < queued.deadline)?;
         self.record_start(now);
-        self.keys.remove(&key.3);
-        self.waiting.remove(&key).map(|queued| queued.call)
+        Some(next.call)
     }
 
     /// Removes and returns the waiting calls that can no longer be served in time.
     pub fn expire(&mut self, now: Instant) -> Vec<T> {
-        let mut ahead = 0;
-        let mut late = Vec::new();
-        for (key, queued) in &self.waiting {
-            if self.would_miss_deadline(now, ahead, queued) {
-                late.push(key.3);
-            } else {
-                ahead += 1;
-            }
-        }
-        late.into_iter().filter_map(|id| self.cancel(id)).collect()
+        let late = self
+            .waiting
+            .late(|position, queued| self.would_miss_deadline(now, position, queued));
+        let late = late.into_iter().filter_map(|id| self.waiting.remove(id));
+        late.map(|queued| {
+            self.held_back.record(now, queued.organisation.as_ref());
+            queued.call
+        })
+        .collect()
     }
 
     /// Removes and returns all waiting calls.
     pub fn clear(&mut self) -> Vec<T> {
-        self.keys.clear();
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_values().map(|queued| queued.call).collect()
+        let waiting = self.waiting.clear();
+        waiting.into_iter().map(|queued| queued.call).collect()
     }
 
     /// Returns the expected wait of a call behind all others.
@@ -257,8 +266,14 @@
         slot.max(self.rate_limiter.wait(now, ahead))
     }
 
-    fn would_miss_deadline(&self, now: Instant, ahead: usize, queued: &QueuedCall<T>) -> bool {
-        now + self.expected_wait(now, ahead) + queued.min_time >= queued.deadline
+    fn would_miss_deadline(
+        &self,
+        now: Instant,
+        position: Position,
+        queued: &QueuedCall<T>,
+    ) -> bool {
+        let wait = self.expected_wait(now, position.ahead).max(position.wait);
+        wait.saturating_add(queued.min_time) >= queued.deadline.saturating_duration_since(now)
     }
 }
 
@@ -280,6 +295,12 @@
         self.mean += TIME_ESTIMATE_WEIGHT * (time - self.mean);
     }
 
+    /// Returns the mean time, if there was a successful call.
+    #[must_use]
+    pub fn mean(&self) -> Option<Duration> {
+        (self.mean > 0.0).then(|| Duration::from_secs_f64(self.mean))
+    }
+
     /// Returns the shortest time with which a call has a fair chance to succeed.
     ///
     /// Some kinds of work vary little between calls and others a lot. The mean alone would refuse
--- a/crates/policy/src/queue/tests.rs
+++ b/crates/policy/src/queue/tests.rs
@@ -13,6 +13,8 @@
         remaining: Duration::ZERO,
         deadline: now + MS * deadline,
         min_time: MS * 5,
+        organisation: None,
+        cost: MS * 10,
         call,
     }
 }
--- a/crates/policy/tests/histories.rs
+++ b/crates/policy/tests/histories.rs
@@ -305,6 +305,8 @@
             remaining: Duration::from_millis(call.deadline_ms % 3),
             deadline: self.instant(call.deadline_ms),
             min_time: Duration::from_millis(20),
+            organisation: None,
+            cost: Duration::from_millis(20),
             call: job,
         };
         match self.gates[gate].queue.enqueue(now, queued) {
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -488,7 +488,10 @@
         let idempotent = job.call.kind.idempotent;
         let call_id = job.call.id.clone();
         let min_time = self.progress.borrow().lower_bound(&job.call.kind.route);
+        let known_cost = self.progress.borrow().mean(&job.call.kind.route);
         let queued_call = QueuedCall {
+            organisation: job.call.organisation.clone(),
+            cost: known_cost.unwrap_or_else(|| self.queue.borrow().mean_hold_time()),
             // Nested calls go before new chains of the same rank.
             rank: (job.call.kind.rank.saturating_mul(2))
                 .saturating_add(u32::from(!job.call.kind.nested)),
