Divide the admission share of an entry between organisations

Cause: when an entry admits only a share of the new chains, it refuses the same fraction of every organisation, also of those that ask for little.

Change: each route divides the share max-min over the organisations that asked at the entry in the last 5 s. The total stays the share of the demand, and each admitted call states the share of its organisation, so that gates still find the whole demand. Chains without an organisation are decided as before; a test plays random demand through both rules. The decision takes its arguments as `NewChain`; the tests of the throttle call it so, their expectations are unchanged.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod demand;
 pub mod fair_queue;
+pub mod fair_share;
 pub mod fleet;
 pub mod held_back;
 pub mod home;
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -4,15 +4,20 @@
 //! many calls a route makes to each service, and admits the fraction of chains that the most loaded
 //! of these dependencies can take. A refused client resends its call once. A resent call is
 //! therefore preferred to a new one, and the client is told to resend while its response can still
-//! be in time.
+//! be in time. Chains of organisations are admitted in max-min fair shares (see
+//! [`fair_share`](crate::fair_share)).
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::id::ServiceName;
+use crate::fair_share::FairShares;
+use crate::held_back::{HeldBack, HeldChange};
+use crate::id::{OrganisationName, ServiceName};
 use crate::routing::{Route, RouteName};
 use crate::selection::Headroom;
 
+#[cfg(test)]
+mod reference_tests;
 #[cfg(test)]
 mod tests;
 
@@ -55,6 +60,8 @@
     longest_timeout: Duration,
     /// Accumulated admission share. When it reaches 1, a chain is admitted and 1 is subtracted.
     credit: f64,
+    /// Shares of the organisations, if any has asked.
+    organisations: Option<FairShares>,
 }
 
 impl RouteState {
@@ -66,12 +73,27 @@
     }
 }
 
+/// A chain that a client wants to start.
+#[derive(Clone, Copy, Debug)]
+pub struct NewChain<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u32,
+    /// Service of its first call.
+    pub service: &'a ServiceName,
+    /// Time for which the client waits.
+    pub client_timeout: Duration,
+    /// Organisation that sends it, if there are organisations.
+    pub organisation: Option<&'a OrganisationName>,
+}
+
 /// Decision on a new chain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ThrottleDecision {
     /// It is admitted.
     Admitted {
-        /// Admission share of new chains.
+        /// Admission share of new chains, of its organisation if it has one.
         share: f64,
         /// Whether it is a resent call, which is preferred to new chains.
         resent: bool,
@@ -85,6 +107,7 @@
 pub struct EntryThrottle {
     phase: f64,
     routes: HashMap<RouteName, RouteState>,
+    held_back: HeldBack,
 }
 
 impl EntryThrottle {
@@ -95,9 +118,15 @@
         Self {
             phase,
             routes: HashMap::new(),
+            held_back: HeldBack::default(),
         }
     }
 
+    /// Returns which organisations have started or ceased to be held back since the last call.
+    pub fn held_changes(&mut self, now: Instant) -> Vec<HeldChange> {
+        self.held_back.changes(now)
+    }
+
     /// Records the usage of a finished run and the time that it took.
     pub fn record_run(&mut self, route: &RouteName, usage: &[(ServiceName, u32)], time: Duration) {
         let state = self.state(route);
@@ -136,16 +165,22 @@
             .collect()
     }
 
-    /// Decides on a new chain of a rank whose first call goes to `service`. `headroom_of` returns what a
-    /// service can take, or `None` for a service of which nothing is known.
+    /// Decides on a new chain. `headroom_of` returns what a service can take, or `None` for a service
+    /// of which nothing is known.
     pub fn decide(
         &mut self,
-        route: &Route,
-        rank: u32,
-        service: &ServiceName,
-        client_timeout: Duration,
+        now: Instant,
+        chain: &NewChain<'_>,
         headroom_of: impl Fn(&ServiceName) -> Option<Headroom>,
     ) -> ThrottleDecision {
+        let NewChain {
+            route,
+            rank,
+            service,
+            client_timeout,
+            organisation,
+        } = *chain;
+        let phase = self.phase;
         let state = self.state(&route.name);
         let resent = client_timeout < state.longest_timeout.mul_f64(RESENT_TIMEOUT_FRACTION);
         state.longest_timeout = state.longest_timeout.max(client_timeout);
@@ -161,6 +196,19 @@
         let share = share
             .min(success_chance * MIN_SUCCESS_CHANCE.recip())
             .max(MIN_ADMISSION_SHARE);
+        if let Some(organisation) = organisation
+            && rank > 0
+        {
+            let shares = state
+                .organisations
+                .get_or_insert_with(|| FairShares::new(phase, RESENT_SHARE_FACTOR));
+            let (share, admitted) = shares.decide(now, organisation, resent, share);
+            if admitted {
+                return ThrottleDecision::Admitted { share, resent };
+            }
+            self.held_back.record(now, Some(organisation));
+            return ThrottleDecision::Refused;
+        }
         if rank == 0 || share >= 1.0 {
             return ThrottleDecision::Admitted { share: 1.0, resent };
         }
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -1,15 +1,15 @@
 //! Guards against chains that start although a dependency has no headroom for their calls.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::{EntryThrottle, ThrottleDecision};
+use super::{EntryThrottle, NewChain, ThrottleDecision};
 use crate::id::ServiceName;
 use crate::routing::{RetrySafety, Route, WeightedService};
 use crate::selection::Headroom;
 
 const MS: Duration = Duration::from_millis(1);
 
-fn route(name: &str, rank: u32) -> Route {
+pub(super) fn route(name: &str, rank: u32) -> Route {
     Route {
         name: name.into(),
         host: "h".to_owned(),
@@ -38,7 +38,7 @@
         .count()
 }
 
-fn headroom(share: f64, accepted: f64) -> Headroom {
+pub(super) fn headroom(share: f64, accepted: f64) -> Headroom {
     Headroom {
         capacity: 100.0,
         share,
@@ -53,17 +53,24 @@
     client_timeout: Duration,
     share: f64,
 ) -> ThrottleDecision {
-    let first_service = &route.services[0].service;
-    throttle.decide(
+    let chain = chain(route, client_timeout);
+    throttle.decide(Instant::now(), &chain, |service| {
+        (**service == *"inventario").then(|| headroom(share, 1.0))
+    })
+}
+
+/// A chain without an organisation.
+pub(super) fn chain(route: &Route, client_timeout: Duration) -> NewChain<'_> {
+    NewChain {
         route,
-        route.rank,
-        first_service,
+        rank: route.rank,
+        service: &route.services[0].service,
         client_timeout,
-        |service| (**service == *"inventario").then(|| headroom(share, 1.0)),
-    )
+        organisation: None,
+    }
 }
 
-fn trained_throttle() -> EntryThrottle {
+pub(super) fn trained_throttle() -> EntryThrottle {
     let mut throttle = EntryThrottle::new(0.0);
     let dependency: ServiceName = "inventario".into();
     throttle.record_run(&"catalogo".into(), &[(dependency, 8)], MS * 700);
@@ -136,12 +143,11 @@
 fn a_route_is_throttled_for_its_first_service_too() {
     let mut throttle = EntryThrottle::new(0.0);
     let catalogo = route("catalogo", 1);
-    let first_service = &catalogo.services[0].service;
     let admitted = (0..100)
         .filter(|_| {
-            throttle.decide(&catalogo, catalogo.rank, first_service, MS * 5_000, |_| {
-                Some(headroom(0.5, 1.0))
-            }) != ThrottleDecision::Refused
+            let chain = chain(&catalogo, MS * 5_000);
+            throttle.decide(Instant::now(), &chain, |_| Some(headroom(0.5, 1.0)))
+                != ThrottleDecision::Refused
         })
         .count();
     assert_eq!(admitted, 50);
@@ -152,19 +158,13 @@
     let count = |accepted: f64| {
         let mut throttle = trained_throttle();
         let catalogo = route("catalogo", 1);
-        let first_service = &catalogo.services[0].service;
         (0..100)
             .filter(|_| {
                 let headroom_of = |service: &ServiceName| {
                     (**service == *"inventario").then(|| headroom(1.0, accepted))
                 };
-                throttle.decide(
-                    &catalogo,
-                    catalogo.rank,
-                    first_service,
-                    MS * 5_000,
-                    headroom_of,
-                ) != ThrottleDecision::Refused
+                let chain = chain(&catalogo, MS * 5_000);
+                throttle.decide(Instant::now(), &chain, headroom_of) != ThrottleDecision::Refused
             })
             .count()
     };
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -14,7 +14,7 @@
 use policy::organisation::Organisation;
 use policy::routing::{RetrySafety, Route};
 use policy::selection::{self, Candidate};
-use policy::throttle::{ThrottleDecision, Usage};
+use policy::throttle::{NewChain, ThrottleDecision, Usage};
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -216,10 +216,13 @@
         Some(parent) => (parent.share, false),
         None => match admit(
             daemon,
-            &route,
-            rank,
-            &service,
-            client_timeout(&request, &route),
+            &NewChain {
+                route: &route,
+                rank,
+                service: &service,
+                client_timeout: client_timeout(&request, &route),
+                organisation: organisation.as_ref().map(|sender| &sender.name),
+            },
         ) {
             ThrottleDecision::Refused => {
                 return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled);
@@ -346,15 +349,9 @@
 }
 
 /// Decides whether a new chain is admitted.
-fn admit(
-    daemon: &Daemon,
-    route: &Route,
-    rank: u32,
-    service: &ServiceName,
-    timeout: Duration,
-) -> ThrottleDecision {
+fn admit(daemon: &Daemon, chain: &NewChain<'_>) -> ThrottleDecision {
     let mut throttle = daemon.throttle.borrow_mut();
-    throttle.decide(route, rank, service, timeout, |service| {
+    throttle.decide(daemon.clock.now(), chain, |service| {
         daemon.headroom_of(service, None)
     })
 }
