Report the organisations that are held back

Cause: operators could not see which organisation waits or is refused for lack of capacity.

Change: `organisation_held_back` and `organisation_released` are logged once when calls of an organisation begin to be refused in the queue of the gate or at the entry and when none was for 2 s. Two metrics count by place, without a label for the organisation.

--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -28,6 +28,7 @@
 use crate::frame::{
     CallHead, CallHistory, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown,
 };
+use crate::held_back::{self, Place};
 use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
 
@@ -437,6 +438,10 @@
         loop {
             tokio::time::sleep(DEMAND_UPDATE_INTERVAL).await;
             let now = daemon.clock.now();
+            let in_queue = self.queue.borrow_mut().held_changes(now);
+            held_back::report(daemon, Place::Queue, in_queue);
+            let at_entry = daemon.throttle.borrow_mut().held_changes(now);
+            held_back::report(daemon, Place::Entry, at_entry);
             let load: selection::Load = self.load().into();
             let mut demand = self.demand.borrow_mut();
             demand.adjust(self.queue.borrow().next_wait(now), load.hold_time);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod frame;
 pub mod gate;
+pub mod held_back;
 pub mod inbound;
 pub mod listener;
 pub mod logging;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds: the latency objectives of the deployments lie
@@ -26,6 +26,10 @@
     pub retries: IntCounter,
     /// Calls that the gate refused, by reason.
     pub refused: IntCounterVec,
+    /// Organisations that are held back, by place: the queue of the gate or the entry.
+    pub held_back: IntGaugeVec,
+    /// Calls refused while their organisations were held back, by place, counted when that ends.
+    pub held_refusals: IntCounterVec,
     /// Calls sent to the endpoint.
     pub sent: IntCounter,
     /// Calls per second that the endpoint takes, as it states; -1 without a limit.
@@ -84,6 +88,15 @@
         )
         .expect("names of metrics are valid");
         rate_limit.set(NO_RATE_LIMIT);
+        let held_back = IntGaugeVec::new(
+            Opts::new(
+                "sapphiredoor_held_back_organisations",
+                "Organisations whose calls are refused for lack of capacity",
+            ),
+            &["place"],
+        )
+        .expect("names of metrics are valid");
+        register(&registry, held_back.clone());
         register(&registry, rate_limit.clone());
         Self {
             calls: counters(
@@ -96,6 +109,12 @@
                 "Calls that the gate refused",
                 &["reason"],
             ),
+            held_refusals: counters(
+                "sapphiredoor_held_back_refusals_total",
+                "Calls refused while their organisations were held back, counted when that ends",
+                &["place"],
+            ),
+            held_back,
             store_calls: gauge(
                 "sapphiredoor_store_calls",
                 "Calls to the store since the start",
