--- a/crates/policy/src/organisation.rs
+++ b/crates/policy/src/organisation.rs
@@ -32,6 +32,9 @@
 pub fn organisation_rank(call: u32) -> u32 {
     call / ROUTE_RANKS
 }
+/// Largest number of organisations for which a part of a daemon keeps state. The one that was idle
+/// for the longest time is forgotten first.
+pub const MAX_TRACKED: usize = 1_024;
 
 /// SHA-256 digest of a key.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -30,6 +30,7 @@
     CallHead, CallHistory, Frame, Load, NotRun, PACE_SCALE, ResponseHead, SHARE_SCALE, StreamId,
     Unknown,
 };
+use crate::held_back::{self, Place};
 use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
 
@@ -465,6 +466,10 @@
         loop {
             tokio::time::sleep(DEMAND_UPDATE_INTERVAL).await;
             let now = daemon.clock.now();
+            let in_queue = self.queue.borrow_mut().held_changes(now);
+            held_back::report(daemon, Place::Queue, in_queue);
+            let at_entry = daemon.throttle.borrow_mut().held_changes(now);
+            held_back::report(daemon, Place::Entry, at_entry);
             let load: selection::Load = self.load(now).into();
             let mut demand = self.demand.borrow_mut();
             demand.adjust(self.queue.borrow().next_wait(now), load.hold_time);
@@ -518,6 +523,8 @@
         let min_time = self.progress.borrow().lower_bound(&job.call.kind.route);
         let hold_time = self.hold_time(&job.call.kind.route);
         let queued_call = QueuedCall {
+            organisation: job.call.organisation.clone(),
+            cost: hold_time.mean,
             // Nested calls go before new chains of the same rank.
             rank: (job.call.kind.rank.saturating_mul(2))
                 .saturating_add(u32::from(!job.call.kind.nested)),
