Test that organisations are admitted without a known share

Cause: the failure table of fair sharing named a test that does not cover an entry without reports of its gates.

Change: a test of the throttle covers it, and the most urgent rank.

--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -171,3 +171,27 @@
     assert_eq!(count(0.99), 100);
     assert!(count(0.45) <= 3, "{}", count(0.45));
 }
+
+/// Guards against organisations that are refused although they may not be: because nothing is known
+/// of the service, as when the entry is cut off from its gates, or because they are urgent.
+#[test]
+fn organisations_are_admitted_without_a_known_share_and_at_the_most_urgent_rank() {
+    let mut throttle = trained_throttle();
+    let (catalogo, name) = (route("catalogo", 1), "a".into());
+    for (rank, share) in [(1, None), (0, Some(0.1))] {
+        let chain = NewChain {
+            rank,
+            organisation: Some(&name),
+            ..chain(&catalogo, MS * 5_000)
+        };
+        for _ in 0..100 {
+            let headroom_of = |_: &ServiceName| share.map(|share| headroom(share, 1.0));
+            let decision = throttle.decide(Instant::now(), &chain, headroom_of);
+            let admitted = ThrottleDecision::Admitted {
+                share: 1.0,
+                resent: false,
+            };
+            assert_eq!(decision, admitted);
+        }
+    }
+}
