Split the admission of a chain from serving its request

Cause: serving a request and deciding on its admission had grown into one function.

Change: admit returns the share and whether the chain has returned; the rank of the organisation has no say in it, so NewChain carries none.

--- a/crates/policy/examples/placement.rs
+++ b/crates/policy/examples/placement.rs
@@ -293,6 +293,8 @@
                     remaining: Duration::ZERO,
                     deadline: call.arrived + self.service.objective * 1_000,
                     min_time: Duration::ZERO,
+                    organisation: None,
+                    cost: Duration::ZERO,
                     call: id,
                 };
                 if let EnqueueOutcome::Start(id) = gate.queue.enqueue(self.now, queued) {
--- a/crates/policy/src/throttle/tests.rs
+++ b/crates/policy/src/throttle/tests.rs
@@ -176,10 +176,10 @@
 #[test]
 fn organisations_are_admitted_without_a_known_share_and_at_the_most_urgent_rank() {
     let mut throttle = trained_throttle();
-    let (catalogo, name) = (route("catalogo", 1), "a".into());
+    let name = "a".into();
     for (rank, share) in [(1, None), (0, Some(0.1))] {
+        let catalogo = route("catalogo", rank);
         let chain = NewChain {
-            rank,
             organisation: Some(&name),
             ..chain(&catalogo, MS * 5_000)
         };
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -213,26 +213,18 @@
         return refuse(daemon, arrived, &request, Some(&route), Refusal::NoEndpoint);
     };
     let parent = daemon.gate.parent(&request.id);
-    let (share, returned) = match &parent {
-        Some(parent) => (parent.share, false),
-        None => match admit(
-            daemon,
-            &NewChain {
-                route: &route,
-                service: &service,
-                client_timeout: client_timeout(&request, &route),
-                organisation: organisation.as_ref().map(|sender| &sender.name),
-            },
-        ) {
-            ThrottleDecision::Refused => {
-                return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled);
-            }
-            // Calls of rank 0, the most urgent one, are not elastic.
-            ThrottleDecision::Admitted { share, resent } => {
-                let share = (route.rank > 0).then_some((share * SHARE_SCALE) as u16);
-                (share, resent)
-            }
-        },
+    let chain = NewChain {
+        route: &route,
+        service: &service,
+        client_timeout: client_timeout(&request, &route),
+        organisation: organisation.as_ref().map(|sender| &sender.name),
+    };
+    let admission = match &parent {
+        Some(parent) => Some((parent.share, false)),
+        None => admit(daemon, &chain),
+    };
+    let Some((share, returned)) = admission else {
+        return refuse(daemon, arrived, &request, Some(&route), Refusal::Throttled);
     };
     let nested = parent
         .as_ref()
@@ -350,12 +342,21 @@
     request.client_timeout.unwrap_or(route.timeout)
 }
 
-/// Decides whether a new chain is admitted.
-fn admit(daemon: &Daemon, chain: &NewChain<'_>) -> ThrottleDecision {
+/// Decides whether a new chain is admitted; returns its admission share, `None` for urgent work, and
+/// whether the chain was refused before.
+fn admit(daemon: &Daemon, chain: &NewChain<'_>) -> Option<(Option<u16>, bool)> {
     let mut throttle = daemon.throttle.borrow_mut();
-    throttle.decide(daemon.clock.now(), chain, |service| {
+    let decision = throttle.decide(daemon.clock.now(), chain, |service| {
         daemon.headroom_of(service, None)
-    })
+    });
+    match decision {
+        ThrottleDecision::Refused => None,
+        // Calls of rank 0, the most urgent one, are not elastic.
+        ThrottleDecision::Admitted { share, resent } => {
+            let share = (chain.route.rank > 0).then_some((share * SHARE_SCALE) as u16);
+            Some((share, resent))
+        }
+    }
 }
 
 struct EndpointResponse {
