Decide quotas of organisations over all daemons

Cause: the rate and the burst of an organisation apply to all daemons together. Fixed shares would starve small organisations, whose requests reach any one daemon once in half a minute.

Change: policy::quota has two state machines. QuotaOwner holds the token bucket of an organisation on the VM with the highest rendezvous hash; QuotaHolder spends the tokens that an entry was granted. An entry with many grants is told a share, which the owner sets aside while it does not hear from the entry; the entry spends it while it does not hear from the owner. A new owner grants little until no earlier owner and no share of it can be in use.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod position;
 pub mod progress;
 pub mod queue;
+pub mod quota;
 pub mod rate_limit;
 pub mod refusal;
 pub mod retry;
--- a/crates/policy/src/organisation.rs
+++ b/crates/policy/src/organisation.rs
@@ -113,4 +113,9 @@
     pub fn holder(&self, key: &KeyDigest) -> Option<&Arc<Organisation>> {
         self.by_key.get(key)
     }
+
+    /// Returns the organisations, each once for every key that it holds.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.by_key.values()
+    }
 }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -122,6 +122,11 @@
         self.organisations.is_some()
     }
 
+    /// Returns the organisations, each once for every key that it holds.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.iter().flat_map(Organisations::iter)
+    }
+
     /// Returns the organisation that sent a request to a route, or `None` for an anonymous one.
     ///
     /// # Errors
