Enforce quotas of organisations in the sidecar daemon

Cause: a request beyond the quota of its organisation must get 429 with a Retry-After, and a request below it must not be refused for lack of a share.

Change: sidecar::quota takes a token after the entry throttle has admitted a request and before it is sent. The token of a call that has not run goes back. Nested calls and organisations without a quota take none.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::logging::LogLimiter;
 use crate::metrics::Metrics;
 use crate::peer::{Peer, Peers};
+use crate::quota::Quotas;
 use crate::settings::Settings;
 
 #[cfg(test)]
@@ -73,6 +74,8 @@
     pub sizes: RefCell<ResponseSizes>,
     /// Decides which new chains are admitted.
     pub throttle: RefCell<EntryThrottle>,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Random numbers for retry delays and for choices between equal candidates.
     pub rng: RefCell<SmallRng>,
     /// Metrics that the daemon exposes to operators.
@@ -143,6 +146,7 @@
             splitter: RefCell::new(WeightedSplitter::new(rng.random())),
             sizes: RefCell::default(),
             throttle: RefCell::new(EntryThrottle::new(rng.random())),
+            quotas: Quotas::new(clock.boot(), settings.bounds.quota_bound()),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::default(),
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::frame::{CallHead, CallHistory, CallKind, Load, NotRun, SHARE_SCALE, Unknown};
 use crate::gate::{Deadline, Job, JobId, NestedCall, Outcome, OutcomeSender};
 use crate::peer::SentCall;
+use crate::quota::{self, Token};
 
 #[cfg(test)]
 mod tests;
@@ -51,6 +52,8 @@
     Unauthorised,
     /// A service that the chain would call has too little headroom.
     Throttled,
+    /// The organisation is over its quota.
+    OverQuota,
     /// The daemon may exit before the deadline of the call.
     Closing,
     /// No endpoint of the service is known.
@@ -62,12 +65,13 @@
 }
 
 impl Refusal {
-    /// Returns the HTTP status. 503 promises that the call has not run and will not.
+    /// Returns the HTTP status. 429 and 503 promise that the call has not run and will not.
     #[must_use]
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
             Self::Unauthorised => 401,
+            Self::OverQuota => 429,
             Self::Unconfigured
             | Self::Throttled
             | Self::Closing
@@ -231,12 +235,15 @@
             }
         },
     };
+    let token = match take_token(daemon, organisation.as_ref(), parent.is_some()).await {
+        Ok(token) => token,
+        Err(retry) => return refuse_over_quota(daemon, arrived, &request, &route, retry),
+    };
     let nested = parent
         .as_ref()
         .map(|parent| daemon.gate.count_nested(daemon, parent));
     if nested.is_some_and(|nested| nested.is_late) {
-        let refusal = Refusal::NotRun(NotRun::Late);
-        return refuse(daemon, arrived, &request, Some(&route), refusal);
+        return refuse_late(daemon, arrived, &request, &route);
     }
     let call = Call {
         daemon,
@@ -254,7 +261,7 @@
         returned: nested.map_or(returned, |nested| nested.returned),
         nested,
     };
-    match call.run().await {
+    match call.run_with(token).await {
         Ok(EndpointResponse {
             status,
             fields,
@@ -325,6 +332,46 @@
     }
 }
 
+/// Refuses a nested call whose chain cannot end in time.
+fn refuse_late(
+    daemon: &Daemon,
+    arrived: Instant,
+    request: &Request,
+    route: &Arc<Route>,
+) -> Response {
+    let refusal = Refusal::NotRun(NotRun::Late);
+    refuse(daemon, arrived, request, Some(route), refusal)
+}
+
+/// Takes a token for a request if its sender has a quota; fails with the time after which the client
+/// may retry. Nested calls do not count towards the quota.
+async fn take_token(
+    daemon: &Rc<Daemon>,
+    sender: Option<&Arc<Organisation>>,
+    nested: bool,
+) -> Result<Option<Token>, Duration> {
+    match sender.filter(|sender| sender.quota.is_some() && !nested) {
+        Some(sender) => quota::admit(daemon, sender).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Refuses a request of an organisation that is over its quota.
+fn refuse_over_quota(
+    daemon: &Daemon,
+    arrived: Instant,
+    request: &Request,
+    route: &Arc<Route>,
+    retry: Duration,
+) -> Response {
+    let refusal = Refusal::OverQuota;
+    refuse(daemon, arrived, request, Some(route), refusal);
+    Response::Refused {
+        refusal,
+        retry_after: Some(retry),
+    }
+}
+
 /// Refuses a request whose body is too large to be held beside the others.
 pub fn refuse_body(daemon: &Daemon, bytes: usize) -> Response {
     if daemon
@@ -386,6 +433,21 @@
 }
 
 impl Call<'_> {
+    /// Sends the call as [`Self::run`] does. The token goes back if the call has not run.
+    async fn run_with(&self, mut token: Option<Token>) -> Result<EndpointResponse, Refusal> {
+        let mut set_sent = |is_sent| {
+            if let Some(token) = &mut token {
+                token.set_sent(is_sent);
+            }
+        };
+        // A call whose client disconnects may still run.
+        set_sent(true);
+        let result = self.run().await;
+        let not_run = matches!(result, Err(Refusal::NoEndpoint | Refusal::NotRun(_)));
+        set_sent(!not_run);
+        result
+    }
+
     /// Sends the call to gates until an endpoint responds or no further attempt is allowed.
     async fn run(&self) -> Result<EndpointResponse, Refusal> {
         let mut tried: Vec<VmId> = Vec::new();
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -14,6 +14,7 @@
 use policy::fleet::{Announcement, VmEntry};
 use policy::id::{OrganisationName, ServiceName};
 use policy::position::Position;
+use policy::quota::{Ask, Grant, OrganisationKey};
 use policy::selection;
 use serde::{Deserialize, Serialize};
 
@@ -262,6 +263,20 @@
     },
     /// Reply to a record: the newest state that the sender knows of the receiver's endpoint.
     Recorded(Option<Announcement>),
+    /// Asks the owner of an organisation's bucket for tokens.
+    QuotaAsk {
+        /// The organisation.
+        organisation: OrganisationKey,
+        /// The ask.
+        ask: Ask,
+    },
+    /// Reply to such an ask.
+    QuotaGrant {
+        /// The organisation.
+        organisation: OrganisationKey,
+        /// The reply.
+        grant: Grant,
+    },
 }
 
 /// A value that may already have been sent over the connection.
@@ -316,6 +331,87 @@
     State(Vec<(VmEntry, Position)>, u64),
     Record(String, Option<VmEntry>),
     Recorded(Option<Announcement>),
+    QuotaAsk(OrganisationKey, WireAsk),
+    QuotaGrant(OrganisationKey, WireGrant),
+}
+
+/// Factor from a share of a quota to its value on the wire.
+const QUOTA_SCALE: f64 = 10_000.0;
+
+/// An ask for tokens as it is serialized.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct WireAsk {
+    number: u32,
+    wanted: u32,
+    returned: u32,
+    share: u16,
+    total: Option<u16>,
+    unheard: bool,
+}
+
+impl From<Ask> for WireAsk {
+    fn from(ask: Ask) -> Self {
+        Self {
+            number: ask.number,
+            wanted: ask.wanted,
+            returned: ask.returned,
+            share: (ask.share * QUOTA_SCALE) as u16,
+            total: ask.total.map(|total| (total * QUOTA_SCALE).ceil() as u16),
+            unheard: ask.unheard,
+        }
+    }
+}
+
+impl From<WireAsk> for Ask {
+    fn from(ask: WireAsk) -> Self {
+        Self {
+            number: ask.number,
+            wanted: ask.wanted,
+            returned: ask.returned,
+            share: f64::from(ask.share) / QUOTA_SCALE,
+            total: ask.total.map(|total| f64::from(total) / QUOTA_SCALE),
+            unheard: ask.unheard,
+        }
+    }
+}
+
+/// A reply to an ask as it is serialized.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+struct WireGrant {
+    number: u32,
+    granted: u32,
+    retry_ms: u32,
+    share: u16,
+    total: u16,
+    is_owner: bool,
+}
+
+impl From<Grant> for WireGrant {
+    fn from(grant: Grant) -> Self {
+        Self {
+            number: grant.number,
+            granted: grant.granted,
+            retry_ms: grant.retry.as_millis() as u32,
+            share: (grant.share * QUOTA_SCALE) as u16,
+            total: (grant.total * QUOTA_SCALE).ceil() as u16,
+            is_owner: grant.is_owner,
+        }
+    }
+}
+
+impl From<WireGrant> for Grant {
+    fn from(grant: WireGrant) -> Self {
+        Self {
+            number: grant.number,
+            granted: grant.granted,
+            retry: Duration::from_millis(grant.retry_ms.into()),
+            share: f64::from(grant.share) / QUOTA_SCALE,
+            total: f64::from(grant.total) / QUOTA_SCALE,
+            is_owner: grant.is_owner,
+        }
+    }
 }
 
 /// Id of a call. Most ids are groups of hexadecimal digits, which are sent in half the bytes.
@@ -560,6 +656,11 @@
             Frame::State { entries, revision } => Wire::State(entries.clone(), *revision),
             Frame::Record { vm, entry } => Wire::Record(vm.clone(), entry.clone()),
             Frame::Recorded(announcement) => Wire::Recorded(announcement.clone()),
+            Frame::QuotaAsk { organisation, ask } => Wire::QuotaAsk(*organisation, (*ask).into()),
+            Frame::QuotaGrant {
+                organisation,
+                grant,
+            } => Wire::QuotaGrant(*organisation, (*grant).into()),
         }
     }
 }
@@ -667,6 +768,14 @@
             Wire::State(entries, revision) => Frame::State { entries, revision },
             Wire::Record(vm, entry) => Frame::Record { vm, entry },
             Wire::Recorded(announcement) => Frame::Recorded(announcement),
+            Wire::QuotaAsk(organisation, ask) => Frame::QuotaAsk {
+                organisation,
+                ask: ask.into(),
+            },
+            Wire::QuotaGrant(organisation, grant) => Frame::QuotaGrant {
+                organisation,
+                grant: grant.into(),
+            },
         })
     }
 }
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -1,6 +1,9 @@
 //! Guards against frames that are decoded beyond their bounds or with the head of another call.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
+use policy::quota::{Ask, Grant, key};
 use rstest::rstest;
 
 use super::{
@@ -95,6 +98,41 @@
     assert_eq!(decoded.unwrap().unwrap().0, call(id, "r"));
 }
 
+/// Guards against asks whose shares grow on the way, and against long ones: small organisations need
+/// one for almost each request.
+#[test]
+fn asks_for_tokens_are_short_and_decoded_exactly() {
+    let ask = Frame::QuotaAsk {
+        organisation: key("a"),
+        ask: Ask {
+            number: 1_000_000,
+            wanted: 1,
+            returned: 0,
+            share: 0.25,
+            total: Some(0.75),
+            unheard: true,
+        },
+    };
+    let grant = Frame::QuotaGrant {
+        organisation: key("a"),
+        grant: Grant {
+            number: 1_000_000,
+            granted: 0,
+            retry: Duration::from_millis(300),
+            share: 0.25,
+            total: 0.75,
+            is_owner: true,
+        },
+    };
+    for (frame, most) in [(ask, 32), (grant, 32)] {
+        let mut bytes = Vec::new();
+        Encoder::default().encode(&frame, b"", &mut bytes);
+        assert!(bytes.len() <= most, "{}", bytes.len());
+        let decoded = Decoder::default().decode(&mut BytesMut::from(&*bytes));
+        assert_eq!(decoded.unwrap().unwrap().0, frame);
+    }
+}
+
 #[test]
 fn an_unknown_index_is_refused() {
     let mut encoder = Encoder::default();
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use log::{info, warn};
+use policy::id::VmId;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::daemon::Daemon;
@@ -51,6 +52,8 @@
 struct Connection {
     daemon: Rc<Daemon>,
     outbox: Outbox,
+    /// VM of the other daemon, once it has stated it.
+    vm: RefCell<Option<VmId>>,
     jobs: RefCell<HashMap<StreamId, JobId>>,
 }
 
@@ -62,6 +65,7 @@
     let connection = Connection {
         daemon,
         outbox: Outbox::new(),
+        vm: RefCell::new(None),
         jobs: RefCell::new(HashMap::new()),
     };
     let (mut reader, mut writer) = stream.split();
@@ -93,6 +97,7 @@
                     warn!(event = "peer_protocol", vm = &*vm, found = protocol, expected = PROTOCOL_VERSION; "run the same release on all VMs");
                     return false;
                 }
+                *self.vm.borrow_mut() = Some(vm.into());
                 self.outbox.push(&self.daemon.endpoint_frame(), &[]);
                 self.daemon.subscribers.add(self.outbox.clone());
             }
@@ -133,7 +138,22 @@
                 let newest = self.daemon.keep_record(&vm, entry);
                 self.outbox.push(&Frame::Recorded(newest), &[]);
             }
+            Frame::QuotaAsk { organisation, ask } => {
+                let Some(vm) = self.vm.borrow().clone() else {
+                    return false;
+                };
+                let grant = self
+                    .daemon
+                    .quotas
+                    .answer(&self.daemon, &vm, organisation, ask);
+                let grant = Frame::QuotaGrant {
+                    organisation,
+                    grant,
+                };
+                self.outbox.push(&grant, &[]);
+            }
             Frame::Endpoint { .. }
+            | Frame::QuotaGrant { .. }
             | Frame::Recorded(_)
             | Frame::Response { .. }
             | Frame::NotRun { .. }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod outbox;
 pub mod peer;
+pub mod quota;
 pub mod reader;
 pub mod run;
 pub mod settings;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -30,6 +30,18 @@
     pub sent: IntCounter,
     /// Calls per second that the endpoint takes, as it states; -1 without a limit.
     pub rate_limit: Gauge,
+    /// Asks for tokens of organisations' quotas that were sent to other daemons.
+    pub quota_asks: IntCounter,
+    /// Tokens that this daemon granted as the owner of buckets.
+    pub quota_grants: IntCounter,
+    /// Requests that were refused because their organisation is over its quota.
+    pub quota_refusals: IntCounter,
+    /// Requests that waited in vain for the reply to an ask.
+    pub quota_timeouts: IntCounter,
+    /// Tokens that this daemon holds.
+    pub quota_held: IntGauge,
+    /// Buckets that this daemon owns.
+    pub quota_owned: IntGauge,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -62,6 +74,11 @@
             register(&registry, gauge.clone());
             gauge
         };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("names of metrics are valid");
+            register(&registry, counter.clone());
+            counter
+        };
         let options = HistogramOpts::new(
             "sapphiredoor_call_seconds",
             "Time from the arrival of a call to its response",
@@ -96,6 +113,24 @@
                 "Calls that the gate refused",
                 &["reason"],
             ),
+            quota_asks: counter(
+                "sapphiredoor_quota_asks_total",
+                "Asks for tokens of organisations' quotas that were sent to other daemons",
+            ),
+            quota_grants: counter(
+                "sapphiredoor_quota_grants_total",
+                "Tokens that this daemon granted as the owner of buckets",
+            ),
+            quota_refusals: counter(
+                "sapphiredoor_quota_refusals_total",
+                "Requests refused because their organisation is over its quota",
+            ),
+            quota_timeouts: counter(
+                "sapphiredoor_quota_timeouts_total",
+                "Requests that waited in vain for the reply to an ask",
+            ),
+            quota_held: gauge("sapphiredoor_quota_held", "Tokens that this daemon holds"),
+            quota_owned: gauge("sapphiredoor_quota_owned", "Buckets that this daemon owns"),
             store_calls: gauge(
                 "sapphiredoor_store_calls",
                 "Calls to the store since the start",
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -146,6 +146,11 @@
         })
     }
 
+    /// Sends a frame, over a new connection if there is none.
+    pub fn send(self: &Rc<Self>, daemon: &Rc<Daemon>, address: SocketAddr, frame: &Frame) {
+        self.link(daemon, address).outbox.push(frame, &[]);
+    }
+
     /// Pings the gate, over a new connection if there is none.
     pub fn ping(self: &Rc<Self>, daemon: &Rc<Daemon>, address: SocketAddr) {
         let link = self.link(daemon, address);
@@ -245,8 +250,17 @@
                 self.stats.borrow_mut().record_load(now, load.into());
                 return;
             }
+            Frame::QuotaGrant {
+                organisation,
+                grant,
+            } => {
+                let quotas = &daemon.quotas;
+                quotas.apply_grant(daemon, &self.vm, organisation, grant);
+                return;
+            }
             Frame::Pong => return,
             Frame::Hello { .. }
+            | Frame::QuotaAsk { .. }
             | Frame::Call { .. }
             | Frame::Cancel { .. }
             | Frame::Ping
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -107,6 +107,8 @@
     spawn_local(async move { owner.gate.expire_waiting(&owner).await });
     let owner = Rc::clone(daemon);
     spawn_local(async move { owner.gate.track_demand(&owner).await });
+    let owner = Rc::clone(daemon);
+    spawn_local(async move { owner.quotas.run(&owner).await });
 }
 
 fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use policy::id::{DataCentreName, ServiceName, VmId};
+use policy::quota::QuotaBound;
 use policy::retry::RetryBound;
 use serde::Deserialize;
 
@@ -94,6 +95,15 @@
     pub repeat_slack: f64,
     /// Window in which retries are counted, in seconds.
     pub repeat_window_s: f64,
+    /// Window in which the requests of an organisation are counted, in seconds.
+    #[serde(default)]
+    pub quota_window_s: Option<f64>,
+    /// Fraction by which an organisation may exceed its quota in a window.
+    #[serde(default)]
+    pub quota_over: Option<f64>,
+    /// Requests of an organisation allowed in addition in a window.
+    #[serde(default)]
+    pub quota_slack: Option<f64>,
 }
 
 impl BoundSettings {
@@ -109,6 +119,19 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    /// Returns the bound on the requests of an organisation.
+    #[must_use]
+    pub fn quota_bound(&self) -> QuotaBound {
+        let default = QuotaBound::default();
+        QuotaBound {
+            window: self
+                .quota_window_s
+                .map_or(default.window, Duration::from_secs_f64),
+            over: self.quota_over.unwrap_or(default.over),
+            slack: self.quota_slack.unwrap_or(default.slack),
+        }
+    }
+
     /// Returns the bound on retries.
     #[must_use]
     pub fn retry_bound(&self) -> RetryBound {
@@ -195,6 +218,10 @@
         let positive = BTreeMap::from([
             ("bounds.grace_s", self.bounds.grace_s),
             ("bounds.repeat_window_s", self.bounds.repeat_window_s),
+            (
+                "bounds.quota_window_s",
+                self.bounds.quota_window_s.unwrap_or(1.0),
+            ),
             ("endpoint.heartbeat_ms", self.endpoint.heartbeat_ms as f64),
         ]);
         for (field, value) in positive {
@@ -209,6 +236,8 @@
         let not_negative = BTreeMap::from([
             ("bounds.repeat_ratio", self.bounds.repeat_ratio),
             ("bounds.repeat_slack", self.bounds.repeat_slack),
+            ("bounds.quota_over", self.bounds.quota_over.unwrap_or(0.0)),
+            ("bounds.quota_slack", self.bounds.quota_slack.unwrap_or(0.0)),
         ]);
         for (field, value) in not_negative {
             if !(value >= 0.0 && value.is_finite()) {
--- a/crates/sidecar/src/settings/tests.rs
+++ b/crates/sidecar/src/settings/tests.rs
@@ -1,6 +1,7 @@
 //! Guards against a start with invalid settings, and against messages that do not state the remedy.
 
 use expect_test::expect;
+use policy::quota::QuotaBound;
 
 use super::Settings;
 use crate::testing::SETTINGS as VALID;
@@ -16,6 +17,18 @@
     assert_eq!(settings.bounds.grace().as_secs(), 6);
 }
 
+/// Guards against a deployment without quotas whose settings are refused.
+#[test]
+fn the_bound_on_quotas_is_optional() {
+    let with = |text: &str| VALID.replace("\"grace_s\": 6", &format!("\"grace_s\": 6, {text}"));
+    let quota = |text: &str| Settings::parse(&with(text)).unwrap().bounds.quota_bound();
+    let none = "\"quota_window_s\": null, \"quota_over\": null, \"quota_slack\": null";
+    assert_eq!(quota(none), QuotaBound::default());
+    assert_eq!(quota("\"quota_over\": 0.2").over.to_string(), "0.2");
+    expect!["bounds.quota_window_s is 0; set it to a number above 0"]
+        .assert_eq(&error(&with("\"quota_window_s\": 0")));
+}
+
 #[test]
 fn errors_state_the_field_and_the_remedy() {
     expect!["bounds.grace_s is 0; set it to a number above 0"]
