--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::logging::LogLimiter;
 use crate::metrics::Metrics;
 use crate::peer::{Peer, Peers};
+use crate::quota::Quotas;
 use crate::settings::Settings;
 
 #[cfg(test)]
@@ -76,6 +77,8 @@
     pub costs: RefCell<RouteCosts>,
     /// Decides which new chains are admitted.
     pub throttle: RefCell<EntryThrottle>,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Random numbers for retry delays and for choices between equal candidates.
     pub rng: RefCell<SmallRng>,
     /// Metrics that the daemon exposes to operators.
@@ -147,6 +150,7 @@
             sizes: RefCell::default(),
             costs: RefCell::default(),
             throttle: RefCell::new(EntryThrottle::new(rng.random())),
+            quotas: Quotas::new(clock.boot(), settings.bounds.quota_bound()),
             rng: RefCell::new(rng),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::default(),
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -40,6 +40,8 @@
     pub backlog: Gauge,
     /// Pace of the endpoint's machine in percent of its usual one; 0 if it states none.
     pub pace: IntGauge,
+    /// Metrics of the quotas of organisations.
+    pub quota: QuotaMetrics,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -52,6 +54,50 @@
     pub lost_lines: IntGauge,
 }
 
+/// Metrics of the quotas of organisations.
+#[derive(Debug)]
+pub struct QuotaMetrics {
+    /// Asks for tokens of organisations' quotas that were sent to other daemons.
+    pub asks: IntCounter,
+    /// Tokens that this daemon granted as the owner of buckets.
+    pub grants: IntCounter,
+    /// Requests that were refused because their organisation is over its quota.
+    pub refusals: IntCounter,
+    /// Requests that waited in vain for the reply to an ask.
+    pub timeouts: IntCounter,
+    /// Tokens that this daemon holds.
+    pub held: IntGauge,
+    /// Buckets that this daemon owns.
+    pub owned: IntGauge,
+}
+
+impl QuotaMetrics {
+    fn new(registry: &Registry) -> Self {
+        let counter = |name: &str, help: &str| new_counter(registry, name, help);
+        let gauge = |name: &str, help: &str| new_gauge(registry, name, help);
+        Self {
+            asks: counter(
+                "sapphiredoor_quota_asks_total",
+                "Asks for tokens of organisations' quotas that were sent to other daemons",
+            ),
+            grants: counter(
+                "sapphiredoor_quota_grants_total",
+                "Tokens that this daemon granted as the owner of buckets",
+            ),
+            refusals: counter(
+                "sapphiredoor_quota_refusals_total",
+                "Requests refused because their organisation is over its quota",
+            ),
+            timeouts: counter(
+                "sapphiredoor_quota_timeouts_total",
+                "Requests that waited in vain for the reply to an ask",
+            ),
+            held: gauge("sapphiredoor_quota_held", "Tokens that this daemon holds"),
+            owned: gauge("sapphiredoor_quota_owned", "Buckets that this daemon owns"),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates all metrics, at zero.
     ///
@@ -67,11 +113,7 @@
             register(&registry, counter.clone());
             counter
         };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("names of metrics are valid");
-            register(&registry, gauge.clone());
-            gauge
-        };
+        let gauge = |name: &str, help: &str| new_gauge(&registry, name, help);
         let options = HistogramOpts::new(
             "sapphiredoor_call_seconds",
             "Time from the arrival of a call to its response",
@@ -79,15 +121,12 @@
         .buckets(LATENCY_BUCKETS_S.to_vec());
         let latency = HistogramVec::new(options, &["rank"]).expect("names of metrics are valid");
         register(&registry, latency.clone());
-        let retries = IntCounter::new("sapphiredoor_repeats_total", "Retries of calls")
-            .expect("names of metrics are valid");
-        register(&registry, retries.clone());
-        let sent = IntCounter::new(
+        let counter = |name: &str, help: &str| new_counter(&registry, name, help);
+        let retries = counter("sapphiredoor_repeats_total", "Retries of calls");
+        let sent = counter(
             "sapphiredoor_gate_sends_total",
             "Calls sent to the endpoint",
-        )
-        .expect("names of metrics are valid");
-        register(&registry, sent.clone());
+        );
         let rate_limit = Gauge::new(
             "sapphiredoor_endpoint_rate_limit",
             "Calls per second that the endpoint takes, as it states; -1 without a limit",
@@ -136,6 +175,7 @@
                 &["place"],
             ),
             held_back,
+            quota: QuotaMetrics::new(&registry),
             store_calls: gauge(
                 "sapphiredoor_store_calls",
                 "Calls to the store since the start",
@@ -191,6 +231,18 @@
     }
 }
 
+fn new_counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("names of metrics are valid");
+    register(registry, counter.clone());
+    counter
+}
+
+fn new_gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("names of metrics are valid");
+    register(registry, gauge.clone());
+    gauge
+}
+
 fn register(registry: &Registry, metric: impl prometheus::core::Collector + 'static) {
     registry
         .register(Box::new(metric))
