--- a/crates/sapphiredoor/src/cmd.rs
+++ b/crates/sapphiredoor/src/cmd.rs
@@ -361,7 +361,7 @@
         )
         .arg(file_option("in-force").help("Configuration in force, to compare with"))
         .after_help(help_footer(
-            "sapphiredoor configuration check platform/examples/configuration.json\n\
+            "sapphiredoor configuration check platform/examples/organisations.json\n\
              sapphiredoor configuration check new.json --in-force old.json --output json",
             &[0, EXIT_USAGE, EXIT_MISTAKES, EXIT_IO],
         ));
--- a/crates/sapphiredoor/src/configuration/tests.rs
+++ b/crates/sapphiredoor/src/configuration/tests.rs
@@ -6,7 +6,8 @@
 
 use crate::execute;
 
-const SOUND: &str = r#"{"Version":7,"Routes":{"r":{"Host":"h","PathPrefix":"/a/","Type":"idempotent","TimeoutMs":2000,"TargetLatencyMs":1000,"Service":"despacho","MaxAttempts":2}},"Services":{"despacho":{}},"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},"Tenants":{"one":{"ApiKeys":["secret"],"RatePerS":5,"Burst":5}}}"#;
+/// A configuration without mistakes, with one organisation.
+const SOUND: &str = include_str!("../../../../platform/examples/organisations.json");
 
 /// Writes a file of this test run and returns its path.
 fn file(name: &str, text: &str) -> PathBuf {
@@ -39,36 +40,29 @@
 
 #[rstest]
 #[case::sound("sound", "", "", None, 0, "version 7: 0 findings")]
-#[case::warning(
-    "warning",
-    "\"TimeoutMs\":2000",
-    "\"TimeoutMs\":200",
-    None,
-    0,
-    "warning  route r"
-)]
+#[case::warning("warning", ": 2000", ": 200", None, 0, "warning  route read")]
 #[case::error(
     "error",
-    "\"Service\":\"despacho\"",
-    "\"Service\":\"x\"",
+    "\"Services\": {\"despacho\"",
+    "\"Services\": {\"x\"",
     None,
     3,
-    "service x"
+    "service despacho"
 )]
-#[case::undecodable(
-    "undecodable",
-    "\"TimeoutMs\":2000",
-    "\"TimeoutMs\":\"soon\"",
+#[case::undecodable("undecodable", ": 2000", ": \"soon\"", None, 3, "Routes.read")]
+#[case::key_of_another_type(
+    "type",
+    "[\"secret\"]",
+    "\"secret\"",
     None,
     3,
-    "Routes.r.TimeoutMs"
+    "organisation vivero-sabana"
 )]
-#[case::key_of_another_type("type", "[\"secret\"]", "\"secret\"", None, 3, "organisation one")]
 #[case::older("older", "", "", Some(SOUND), 3, "not higher than 7")]
 #[case::changed(
     "changed",
-    "\"Version\":7",
-    "\"Version\":8",
+    "\"Version\": 7",
+    "\"Version\": 8",
     Some(SOUND),
     0,
     "number 7 -> 8"
