Test crowds of slow clients and bodies of the largest size

Clients that the operators do not control can read long responses slowly, or send long bodies slowly. The new test starts two daemons on loopback addresses with 40 such clients and checks only that the processes live, that their peak memory and descriptors stay within those of the smallest VM, and that an ordinary request is answered afterwards. It also sends one body of the largest allowed size in each direction, alone. The stand-ins of the soak are reused; they show the process and the addresses.

--- /dev/null
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -0,0 +1,400 @@
+//! Crowds of clients that read long responses slowly, or send long bodies slowly, against the real
+//! program.
+//!
+//! Guards against daemons that run out of memory or descriptors, or stop serving others, because of
+//! clients that the operators do not control (held-answers), and against bodies of the largest
+//! allowed size that are refused. Only what does not depend on the speed of the machine is checked:
+//! processes, peak memory, descriptors, and that requests are answered afterwards.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use adapter::standin::{self, ClientRequest};
+use bytes::BytesMut;
+use policy::fleet::{Announcement, State};
+use policy::routing::{RetrySafety, Route, WeightedService};
+use rstest::rstest;
+use soak::client::{HOST, SHOP, STOCK};
+use soak::net::{self, TaskGroup};
+use soak::run::network;
+use soak::store::Store;
+use soak::vm::{EndpointAddresses, RunContext, Vm};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::LocalSet;
+use transport::http1::{Decoder, Message, MessageKind};
+
+/// One crowd at a time, so that the machine's memory suffices.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Memory of the smallest VM.
+const MAX_RESIDENT_KIB: u64 = 160_000_000 / 1_024;
+
+/// Descriptors of the smallest VM.
+const MAX_DESCRIPTORS: usize = 4_100;
+
+/// Clients of a crowd. Their responses exceed the memory of the VM several times.
+const CROWD: usize = 40;
+
+/// Largest body that the configuration allows.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Time for which a crowd goes on.
+const CROWD_TIME: Duration = Duration::from_secs(6);
+
+/// Time between the few bytes that a slow client reads or sends.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Bytes that a slow client reads or sends at once.
+const TRICKLE_BYTES: usize = 8;
+
+/// Receive buffer of a slow client; the rest of its response stays at the daemon.
+const CLIENT_BUFFER_BYTES: u32 = 16 << 10;
+
+/// Time that a client waits for its response.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(25);
+
+/// Time within which the daemons must be ready, and an ordinary request must be answered. Only a
+/// daemon that hangs takes that long.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Path prefix of the service on the VM of the clients.
+const NEAR: &str = "/near/";
+
+/// Path prefix of the service on the other VM.
+const FAR: &str = "/far/";
+
+/// Daemons with endpoints that respond with as many bytes as the last part of the path states.
+struct Site {
+    vms: Vec<Rc<Vm>>,
+}
+
+impl Site {
+    async fn start(tasks: &TaskGroup, directory: PathBuf) -> Self {
+        let store = Rc::new(Store::default());
+        tasks.spawn(Rc::clone(&store).run_expiry());
+        store.write_configuration(configuration());
+        let context = RunContext {
+            program: PathBuf::from(env!("CARGO_BIN_EXE_sapphiredoor")),
+            directory,
+            store,
+            oracle: Rc::default(),
+            tasks: tasks.clone(),
+            network: network(),
+            vms: 2,
+            seed: 0,
+        };
+        let mut vms = Vec::new();
+        for index in 0..context.vms {
+            let vm = Vm::new(&context, index, 0).expect("the addresses are free");
+            vm.write_settings(0).expect("the settings are written");
+            vm.start().expect("the daemon starts");
+            start_endpoint(tasks, &vm);
+            vms.push(vm);
+        }
+        let site = Self { vms };
+        for prefix in [NEAR, FAR] {
+            site.expect_ordinary(prefix).await;
+        }
+        site
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.vms[0].entry().address
+    }
+
+    /// Sends an ordinary request until it is answered.
+    async fn expect_ordinary(&self, prefix: &str) {
+        let attempts = async {
+            loop {
+                let response = exchange(self.address(), &format!("{prefix}100"), &[]).await;
+                if response.is_some_and(|message| message.head.status == 200) {
+                    return;
+                }
+                tokio::time::sleep(TRICKLE_INTERVAL).await;
+            }
+        };
+        let answered = tokio::time::timeout(PATIENCE, attempts).await;
+        assert!(answered.is_ok(), "no request to {prefix} is answered");
+    }
+
+    /// Checks that no daemon has ended or exceeded a limit of its VM.
+    fn check_processes(&self) {
+        for vm in &self.vms {
+            let process = vm.process_id().expect("the daemon was started");
+            let resident = peak_resident_kib(process);
+            let folder = std::fs::read_dir(format!("/proc/{process}/fd"));
+            let descriptors = folder.map_or(0, Iterator::count);
+            println!(
+                "VM {}: {resident:?} KiB, {descriptors} descriptors",
+                vm.index
+            );
+            let resident = resident.expect("the daemon still runs");
+            assert!(
+                resident <= MAX_RESIDENT_KIB,
+                "VM {}: {resident} KiB resident",
+                vm.index
+            );
+            assert!(descriptors > 0, "VM {}: the daemon has ended", vm.index);
+            assert!(descriptors <= MAX_DESCRIPTORS, "{descriptors} descriptors");
+        }
+    }
+}
+
+/// Returns the peak resident memory of a process, or `None` if it has ended.
+fn peak_resident_kib(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+fn configuration() -> Vec<u8> {
+    let route = |name: &str, prefix: &str, service: &str| Route {
+        name: name.into(),
+        host: HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        retry_safety: RetrySafety::Idempotent,
+        timeout: CLIENT_TIMEOUT,
+        objective: CLIENT_TIMEOUT / 2,
+        rank: 1,
+        attempts: 2,
+        exempt: false,
+        services: vec![WeightedService {
+            service: service.into(),
+            weight: 1.0,
+        }],
+    };
+    let routes = [route("near", NEAR, SHOP), route("far", FAR, STOCK)];
+    let text = String::from_utf8(standin::encode_configuration(1, &routes)).expect("JSON");
+    let small = "\"MaxBodyBytes\":1048576";
+    assert!(text.contains(small), "{text}");
+    text.replace(small, &format!("\"MaxBodyBytes\":{MAX_BODY_BYTES}"))
+        .into_bytes()
+}
+
+fn start_endpoint(tasks: &TaskGroup, vm: &Vm) {
+    let addresses = vm.endpoint_addresses();
+    let listener = net::bind(addresses.listen).expect("the address is free");
+    let group = tasks.clone();
+    tasks.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            group.spawn(respond(stream));
+        }
+    });
+    tasks.spawn(announce(addresses, vm.service(), vm.index));
+}
+
+async fn announce(addresses: EndpointAddresses, service: &'static str, index: usize) {
+    for sequence in 1.. {
+        let heartbeat = standin::encode_heartbeat(&Announcement {
+            instance: format!("i-{index}").into(),
+            service: service.into(),
+            data_centre: "local".into(),
+            address: addresses.announced,
+            slots: 1_000,
+            state: State::Ready,
+            cold: Duration::ZERO,
+            started_ms: 1,
+            sequence,
+        });
+        net::exchange(addresses.control, &heartbeat, Duration::from_secs(1)).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
+fn decoder(side: MessageKind) -> Decoder {
+    Decoder::new(side, 64 << 10, MAX_BODY_BYTES)
+}
+
+/// Responds with the stated number of bytes, or with the length of the request body if it has one.
+async fn respond(mut stream: TcpStream) {
+    let mut decoder = decoder(MessageKind::Request);
+    let mut buffer = BytesMut::with_capacity(64 << 10);
+    let part = vec![b'x'; 256 << 10];
+    while let Some(message) = net::read_message(&mut stream, &mut decoder, &mut buffer).await {
+        let received = standin::decode_request(&message.head);
+        let stated = message.head.target().rsplit('/').next();
+        let length: usize = stated.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut response = standin::encode_signed(200, &received.id, length);
+        let mut rest = length;
+        if !message.body.is_empty() {
+            let text = message.body.len().to_string();
+            response = standin::encode_signed(200, &received.id, text.len());
+            response.extend_from_slice(text.as_bytes());
+            rest = 0;
+        }
+        drop(message);
+        let mut written = stream.write_all(&response).await;
+        while rest > 0 && written.is_ok() {
+            let count = rest.min(part.len());
+            written = stream.write_all(&part[..count]).await;
+            rest -= count;
+        }
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+fn encode(target: &str, body: &[u8]) -> Vec<u8> {
+    static COUNT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let mut bytes = Vec::new();
+    let request = ClientRequest {
+        method: "PUT",
+        host: HOST,
+        target,
+        id: &format!("attempt-{number}"),
+        client_timeout: CLIENT_TIMEOUT,
+        body,
+    };
+    standin::encode_request(&request, &mut bytes);
+    bytes
+}
+
+/// Sends a request and reads its response.
+async fn exchange(address: SocketAddr, target: &str, body: &[u8]) -> Option<Message> {
+    let request = encode(target, body);
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(&request).await.ok()?;
+        let mut decoder = decoder(MessageKind::Response);
+        net::read_message(&mut stream, &mut decoder, &mut BytesMut::new()).await
+    };
+    tokio::time::timeout(CLIENT_TIMEOUT, exchange)
+        .await
+        .ok()
+        .flatten()
+}
+
+/// Runs a test against a site, alone.
+fn run_alone(name: &str, test: impl AsyncFnOnce(&Site, &TaskGroup)) {
+    let _alone = ONE_AT_A_TIME
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let process = std::process::id();
+    let directory = std::env::temp_dir().join(format!("slow-readers-{process}-{name}"));
+    std::fs::create_dir_all(&directory).expect("the directory is created");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    let tasks = TaskGroup::default();
+    LocalSet::new().block_on(&runtime, async {
+        let site = Site::start(&tasks, directory.clone()).await;
+        test(&site, &tasks).await;
+        for vm in &site.vms {
+            vm.kill().await;
+        }
+    });
+    tasks.abort();
+    std::fs::remove_dir_all(&directory).expect("the directory is removed");
+}
+
+/// What a client of a crowd does.
+#[derive(Clone, Copy, Debug)]
+enum Habit {
+    /// Sends requests and reads nothing.
+    Silent,
+    /// Sends requests and reads a few bytes a second.
+    Trickle,
+    /// Sends a long body, the end of it a few bytes a second.
+    Upload,
+}
+
+async fn behave(address: SocketAddr, habit: Habit, target: String, requests: usize, length: usize) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let _ = socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES);
+    let Ok(mut stream) = socket.connect(address).await else {
+        return;
+    };
+    match habit {
+        Habit::Silent | Habit::Trickle => {
+            for _ in 0..requests {
+                if stream.write_all(&encode(&target, &[])).await.is_err() {
+                    return;
+                }
+            }
+        }
+        Habit::Upload => {
+            let request = encode(&target, &vec![b'x'; length]);
+            let (most, rest) = request.split_at(request.len() - (1 << 10));
+            if stream.write_all(most).await.is_err() {
+                return;
+            }
+            for part in rest.chunks(TRICKLE_BYTES) {
+                tokio::time::sleep(TRICKLE_INTERVAL).await;
+                if stream.write_all(part).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+    if matches!(habit, Habit::Trickle) {
+        let mut bytes = [0; TRICKLE_BYTES];
+        while matches!(stream.read(&mut bytes).await, Ok(count) if count > 0) {
+            tokio::time::sleep(TRICKLE_INTERVAL).await;
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+#[rstest]
+#[case::near_silent(NEAR, Habit::Silent, 1, 12 << 20)]
+#[case::near_trickle(NEAR, Habit::Trickle, 1, 12 << 20)]
+#[case::near_pipelined(NEAR, Habit::Trickle, 16, 1 << 20)]
+#[case::near_many_short(NEAR, Habit::Silent, 64, 60 << 10)]
+#[case::far_silent(FAR, Habit::Silent, 1, 12 << 20)]
+#[case::far_trickle(FAR, Habit::Trickle, 1, 12 << 20)]
+#[case::far_pipelined(FAR, Habit::Silent, 16, 1 << 20)]
+#[case::far_many_short(FAR, Habit::Trickle, 64, 60 << 10)]
+#[case::near_uploads(NEAR, Habit::Upload, 1, 12 << 20)]
+#[case::far_uploads(FAR, Habit::Upload, 1, 12 << 20)]
+#[case::far_short_uploads(FAR, Habit::Upload, 1, 60 << 10)]
+fn a_crowd_of_slow_clients_is_survived(
+    #[case] prefix: &str,
+    #[case] habit: Habit,
+    #[case] requests: usize,
+    #[case] length: usize,
+) {
+    let name = format!("{prefix}{habit:?}-{requests}").replace('/', "");
+    run_alone(&name, async |site, tasks| {
+        for _ in 0..CROWD {
+            let target = format!("{prefix}{length}");
+            tasks.spawn(behave(site.address(), habit, target, requests, length));
+        }
+        tokio::time::sleep(CROWD_TIME).await;
+        site.check_processes();
+        for prefix in [NEAR, FAR] {
+            site.expect_ordinary(prefix).await;
+        }
+        site.check_processes();
+    });
+}
+
+/// Guards against a body of the largest allowed size that is refused although it is alone, or that
+/// does not fit into the smallest VM.
+#[rstest]
+#[case::near(NEAR)]
+#[case::far(FAR)]
+fn bodies_of_the_largest_size_pass(#[case] prefix: &str) {
+    let name = format!("largest-{prefix}").replace('/', "");
+    run_alone(&name, async |site, _| {
+        let target = format!("{prefix}upload");
+        let response = exchange(site.address(), &target, &vec![b'x'; MAX_BODY_BYTES]).await;
+        let response = response.expect("the upload is answered");
+        assert_eq!(response.head.status, 200);
+        assert_eq!(response.body, MAX_BODY_BYTES.to_string());
+        let target = format!("{prefix}{MAX_BODY_BYTES}");
+        let response = exchange(site.address(), &target, &[]).await;
+        let response = response.expect("the download is answered");
+        assert_eq!(response.head.status, 200);
+        assert_eq!(response.body.len(), MAX_BODY_BYTES);
+        site.check_processes();
+    });
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -146,7 +146,8 @@
 /// Returns the second and third octet of a loopback network for this run.
 ///
 /// No other run uses it at the same time, in this process or another; 127.0 and 127.1 stay free.
-fn network() -> (u8, u8) {
+#[must_use]
+pub fn network() -> (u8, u8) {
     static RUNS: AtomicU32 = AtomicU32::new(0);
     let process = std::process::id();
     let run = RUNS.fetch_add(1, Ordering::Relaxed);
--- a/crates/soak/src/vm.rs
+++ b/crates/soak/src/vm.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// Addresses of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointAddresses {
+    /// On which it listens.
+    pub listen: SocketAddr,
+    /// That it announces: the proxy in front of it.
+    pub announced: SocketAddr,
+    /// Control address of the daemon, which takes announcements.
+    pub control: SocketAddr,
+}
+
 /// VM of a run.
 #[derive(Debug)]
 pub struct Vm {
@@ -162,6 +173,22 @@
         }
     }
 
+    /// Returns the addresses for an endpoint on the VM.
+    #[must_use]
+    pub fn endpoint_addresses(&self) -> EndpointAddresses {
+        EndpointAddresses {
+            listen: self.context.address(self.index, Port::Endpoint),
+            announced: self.context.address(self.index, Port::EndpointProxy),
+            control: self.context.address(self.index, Port::Control),
+        }
+    }
+
+    /// Returns the id of the daemon's process while it is supposed to run.
+    #[must_use]
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.borrow().as_ref().and_then(Child::id)
+    }
+
     /// Writes the settings file; `change` makes it differ from earlier ones.
     ///
     /// # Errors
