--- a/crates/sapphiredoor/tests/slow_readers.rs
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -59,7 +59,7 @@
 
 /// Time within which the daemons must be ready, and an ordinary request must be answered. Only a
 /// daemon that hangs takes that long.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Path prefix of the service on the VM of the clients.
 const NEAR: &str = "/near/";
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -2,14 +2,15 @@
 //!
 //! Requests are read while earlier ones are still being served, and responses are written in the
 //! order of the requests. When the client disconnects, the calls of its connection are dropped,
-//! which cancels them at their gates.
+//! which cancels them at their gates. The register of connections may close one whose client makes
+//! no progress; a response that is being written then ends before its stated length.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use adapter::request;
 use adapter::response::{self, CallerResponse};
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesOrdered, StreamExt};
@@ -18,12 +19,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 use transport::http1::{DecodeError, Decoder, Framing, Message, MessageKind};
 
+use crate::connections::{ClientState, Connections, Registered, Wait};
 use crate::daemon::{Daemon, OpenRequest};
 use crate::forward::{self, Response};
 use crate::listener::accept;
+use crate::memory::{Grant, Kind, MAX_BODY_BYTES, SMALL_BODY_BYTES};
 
 #[cfg(test)]
 mod tests;
@@ -32,20 +35,22 @@
 const MAX_PIPELINED_REQUESTS: usize = 64;
 
 /// Bytes of further requests that are buffered while [`MAX_PIPELINED_REQUESTS`] are being served.
-const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
+const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 
-/// Largest body of a request. Frames between daemons bound it too, and their head needs some room.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Bytes of responses that are collected for one write. A larger body is written without a copy.
+const MAX_COLLECTED_BYTES: usize = 64 << 10;
 
-/// Largest total of request bodies that are being received or served. The smallest VMs have 160 MB
-/// for the daemon, and each body is copied when it is sent on.
-const MAX_HELD_BYTES: usize = 32 << 20;
+/// Bytes that count for a request beside its head and body.
+const REQUEST_OVERHEAD_BYTES: usize = 512;
 
-/// Size up to which a body is accepted whatever else is held.
-const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Buffered bytes up to which a connection is not counted in the budget.
+const MIN_COUNTED_BYTES: usize = 4 << 10;
 
-/// Time within which a client must accept the bytes of its responses. Connections of clients have no
-/// shorter limit on bytes that they have not read.
+/// Bytes by which the memory for a body of unknown size grows.
+const GROWTH_BYTES: usize = 256 << 10;
+
+/// Time within which a client must accept some more of a response. Connections of clients have no
+/// shorter limit on bytes that they have not read, unless memory is short.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Silence after which a connection is no longer read after its last response. Unread bytes would
@@ -70,7 +75,9 @@
 /// Accepts connections as long as the daemon runs.
 pub async fn listen(daemon: Rc<Daemon>, listener: TcpListener) {
     accept(listener, "calls", |stream| {
-        tokio::task::spawn_local(serve(Rc::clone(&daemon), stream));
+        if let Some(registered) = Connections::register(&daemon) {
+            tokio::task::spawn_local(serve(Rc::clone(&daemon), stream, registered));
+        }
     })
     .await;
 }
@@ -86,14 +93,27 @@
 
 type Pending = FuturesOrdered<LocalBoxFuture<'static, Served>>;
 
-async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream) {
+async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream, registered: Registered) {
     if let Err(error) = transport::socket::tune_client(&stream) {
         warn!(event = "socket_options_refused", error:% = error; "");
         return;
     }
+    let state = Rc::clone(&registered.state);
+    tokio::select! {
+        () = serve_requests(daemon, &mut stream, &state) => {}
+        () = state.closed() => {}
+    }
+    if state.is_closed() {
+        // Bytes that the client has not read would stay in the memory of the system after a close.
+        let _ = transport::socket::reset_on_close(&stream);
+    }
+}
+
+async fn serve_requests(daemon: Rc<Daemon>, stream: &mut TcpStream, state: &Rc<ClientState>) {
     let (mut reader, mut writer) = stream.split();
-    let mut connection = Connection::new(daemon);
+    let mut connection = Connection::new(daemon, Rc::clone(state));
     if connection.run(&mut reader, &mut writer).await {
+        drop(connection);
         // The last response is written; requests that still arrive are not served.
         drop(writer.shutdown().await);
         let mut rest = BytesMut::with_capacity(LINGER_BUFFER_BYTES);
@@ -108,36 +128,13 @@
     }
 }
 
-/// Bytes of a request body in the total of the daemon, given back when dropped.
-struct HeldBody {
-    daemon: Rc<Daemon>,
-    bytes: usize,
-}
-
-impl HeldBody {
-    fn new(daemon: Rc<Daemon>) -> Self {
-        Self { daemon, bytes: 0 }
-    }
-
-    /// Sets the size of the body; returns whether it can be held.
-    fn set(&mut self, bytes: usize) -> bool {
-        let total = &self.daemon.held_bodies;
-        total.set(total.get() - self.bytes + bytes);
-        self.bytes = bytes;
-        bytes <= SMALL_BODY_BYTES || (bytes <= MAX_BODY_BYTES && total.get() <= MAX_HELD_BYTES)
-    }
-}
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.set(0);
-    }
-}
-
 struct Connection {
     daemon: Rc<Daemon>,
-    /// Body that is being received.
-    held: HeldBody,
+    state: Rc<ClientState>,
+    /// Memory for the body that is being received.
+    held: Grant,
+    /// Memory for what is buffered.
+    buffered: Grant,
     limits: Limits,
     decoder: Decoder,
     buffer: BytesMut,
@@ -162,11 +159,13 @@
 }
 
 impl Connection {
-    fn new(daemon: Rc<Daemon>) -> Self {
+    fn new(daemon: Rc<Daemon>, state: Rc<ClientState>) -> Self {
         let limits = DEFAULT_LIMITS;
         let waiting_since = daemon.clock.now();
         Self {
-            held: HeldBody::new(Rc::clone(&daemon)),
+            state,
+            held: daemon.budget.grant(Kind::Request),
+            buffered: daemon.budget.grant(Kind::Buffer),
             daemon,
             limits,
             decoder: Decoder::new(MessageKind::Request, limits.head_bytes, limits.body_bytes),
@@ -183,6 +182,7 @@
         loop {
             self.start_requests();
             self.update_stage();
+            self.update_state();
             if self.pending.is_empty() && self.last {
                 return true;
             }
@@ -198,10 +198,11 @@
                         Some(false) => {}
                     }
                 }
-                read = reader.read_buf(&mut self.buffer), if !full => {
-                    if !matches!(read, Ok(count) if count > 0) {
+                read = read_more(reader, &mut self.decoder, &mut self.buffer), if !full => {
+                    let Ok(count @ 1..) = read else {
                         return false;
-                    }
+                    };
+                    self.state.record_progress(self.daemon.clock.now(), count);
                     if self.stage == Stage::Body {
                         self.waiting_since = self.daemon.clock.now();
                     }
@@ -239,6 +240,22 @@
         }
     }
 
+    /// Updates the register of connections and the memory for what is buffered.
+    fn update_state(&mut self) {
+        let buffered = self.buffer.len();
+        let counted = buffered > MIN_COUNTED_BYTES;
+        self.buffered.force(if counted { buffered } else { 0 });
+        let wait = match self.stage {
+            Stage::Body => Wait::Client,
+            Stage::Head if self.pending.is_empty() => Wait::Client,
+            Stage::Idle if self.pending.is_empty() => Wait::Request,
+            Stage::Idle | Stage::Head => Wait::Daemon,
+        };
+        let held = self.held.bytes() + self.buffered.bytes();
+        let now = self.daemon.clock.now();
+        self.state.set_wait(now, wait, held);
+    }
+
     /// Ends a connection that was idle for too long; returns whether the client is still connected.
     /// A request that has arrived only in part gets status 408.
     async fn expire(&mut self, writer: &mut WriteHalf<'_>) -> bool {
@@ -256,24 +273,28 @@
 
     /// Starts serving the requests that have arrived completely.
     fn start_requests(&mut self) {
-        while !self.last && self.pending.len() < MAX_PIPELINED_REQUESTS && !self.buffer.is_empty() {
+        while !self.last
+            && self.pending.len() < MAX_PIPELINED_REQUESTS
+            && (!self.buffer.is_empty() || self.decoder.has_whole_body())
+        {
             self.update_limits();
             match self.decoder.take(&mut self.buffer) {
                 Ok(None) => {
                     let size = self.pending_body();
-                    if !self.held.set(size) {
-                        self.refuse_body();
+                    if !self.held.resize(size) {
+                        self.refuse_body(size);
                     }
                     return;
                 }
                 Ok(Some(message)) => {
-                    let mut held = HeldBody::new(Rc::clone(&self.daemon));
-                    std::mem::swap(&mut held, &mut self.held);
-                    if held.set(message.body.len()) {
+                    let new = self.daemon.budget.grant(Kind::Request);
+                    let mut held = std::mem::replace(&mut self.held, new);
+                    let size = message.body.len();
+                    if held.resize(size) {
                         self.last = message.head.close;
                         self.start(message, held);
                     } else {
-                        self.refuse_body();
+                        self.refuse_body(size);
                     }
                 }
                 Err(malformed) => {
@@ -290,22 +311,32 @@
         }
     }
 
-    /// Returns the size of the body that is being received: the stated one, or what has arrived.
+    /// Returns the memory that the body being received needs: for its stated size, or for some more
+    /// than has arrived.
     fn pending_body(&self) -> usize {
         match self.decoder.pending().map(|head| head.framing) {
             Some(Framing::Length(length)) => length,
-            Some(_) => self.decoder.held_bytes() + self.buffer.len(),
+            Some(_) => {
+                let arrived = self.decoder.held_bytes() + self.buffer.len();
+                if arrived <= SMALL_BODY_BYTES {
+                    arrived
+                } else {
+                    let steps = arrived / GROWTH_BYTES + 1;
+                    (steps * GROWTH_BYTES).min(MAX_BODY_BYTES)
+                }
+            }
             None => 0,
         }
     }
 
     /// Refuses a request whose body cannot be held. The rest of it is not read, so the connection
     /// ends.
-    fn refuse_body(&mut self) {
+    fn refuse_body(&mut self, size: usize) {
         self.last = true;
+        self.held = self.daemon.budget.grant(Kind::Request);
         let served = Served {
             id: None,
-            response: Ok(forward::refuse_body(&self.daemon, self.held.bytes)),
+            response: Ok(forward::refuse_body(&self.daemon, size)),
             open: OpenRequest::new(Rc::clone(&self.daemon)),
         };
         self.pending.push_back(async { served }.boxed_local());
@@ -323,12 +354,15 @@
         }
     }
 
-    fn start(&mut self, message: Message, held: HeldBody) {
+    fn start(&mut self, mut message: Message, held: Grant) {
         self.waiting_since = self.daemon.clock.now();
+        message.body = held.attach(message.body);
+        let mut grant = self.daemon.budget.grant(Kind::Request);
+        grant.force(message.head.length() + REQUEST_OVERHEAD_BYTES);
         let daemon = Rc::clone(&self.daemon);
         let open = OpenRequest::new(Rc::clone(&daemon));
         let serve = async move {
-            let _held = held;
+            let _grant = grant;
             match request::decode(&message) {
                 Ok(request) => {
                     let id = Some(request.id.clone());
@@ -357,64 +391,120 @@
     /// connection, or `None` when the client has disconnected.
     async fn write(&mut self, served: Served, writer: &mut WriteHalf<'_>) -> Option<bool> {
         let mut bytes = Vec::with_capacity(1_024);
-        let mut closes = self.encode(&served, &mut bytes);
+        let (mut closes, mut body) = self.encode(served.id.as_deref(), served.response, &mut bytes);
         // Only the counts are kept while the bytes are written; the bodies have been copied.
         let mut open = vec![served.open];
-        while !closes {
+        while !closes && body.is_empty() && bytes.len() < MAX_COLLECTED_BYTES {
             let Some(Some(next)) = self.pending.next().now_or_never() else {
                 break;
             };
-            closes = self.encode(&next, &mut bytes);
+            (closes, body) = self.encode(next.id.as_deref(), next.response, &mut bytes);
             open.push(next.open);
         }
-        let written = timeout(WRITE_TIMEOUT, writer.write_all(&bytes)).await;
+        let written = self.write_all(bytes, body, writer).await;
         self.waiting_since = self.daemon.clock.now();
-        matches!(written, Ok(Ok(()))).then_some(closes)
+        written.then_some(closes)
+    }
+
+    /// Writes the bytes and the body after them; returns whether the client has taken all.
+    async fn write_all(&self, bytes: Vec<u8>, body: Bytes, writer: &mut WriteHalf<'_>) -> bool {
+        let mut unread = self.daemon.budget.grant(Kind::Unread);
+        let collected = bytes.len();
+        let mut rest = Buf::chain(Bytes::from(bytes), body);
+        while rest.has_remaining() {
+            let written = if let Some(written) = writer.write_buf(&mut rest).now_or_never() {
+                written
+            } else {
+                // The client is slow. The bodies that were copied are no longer held elsewhere.
+                unread.force(collected);
+                let held = self.held.bytes() + self.buffered.bytes() + rest.remaining();
+                let now = self.daemon.clock.now();
+                self.state.set_wait(now, Wait::Client, held);
+                let limit = self.state.since() + WRITE_TIMEOUT;
+                let write = writer.write_buf(&mut rest);
+                let Ok(written) = timeout_at(limit.into(), write).await else {
+                    return false;
+                };
+                written
+            };
+            match written {
+                Ok(count @ 1..) => {
+                    let now = self.daemon.clock.now();
+                    self.state.record_progress(now, count);
+                }
+                _ => return false,
+            }
+        }
+        true
     }
 
-    /// Appends a response; returns whether it closes the connection.
-    fn encode(&self, served: &Served, bytes: &mut Vec<u8>) -> bool {
+    /// Appends a response; returns whether it closes the connection, and its body if that is large
+    /// and has not been appended.
+    fn encode(
+        &self,
+        id: Option<&str>,
+        response: Result<Response, u16>,
+        bytes: &mut Vec<u8>,
+    ) -> (bool, Bytes) {
         // Clients treat requests after a closing response as not read, so only the last response
         // may close the connection.
         let idle = self.pending.is_empty() && self.buffer.is_empty();
         let close = idle && (self.last || self.daemon.is_stopping());
         let mut caller_response = CallerResponse {
             status: 500,
-            id: served.id.as_deref(),
+            id,
             fields: &[],
             signature: &[],
             length: 0,
             retry_after: None,
             close,
         };
-        match &served.response {
+        let mut large = Bytes::new();
+        match response {
             Ok(Response::Endpoint {
                 status,
                 fields,
                 signature,
                 body,
             }) => {
-                caller_response.status = *status;
-                caller_response.fields = fields;
-                caller_response.signature = signature;
+                caller_response.status = status;
+                caller_response.fields = &fields;
+                caller_response.signature = &signature;
                 caller_response.length = body.len();
                 response::encode(&caller_response, bytes);
-                bytes.extend_from_slice(body);
+                if body.len() <= MAX_COLLECTED_BYTES {
+                    bytes.extend_from_slice(&body);
+                } else {
+                    large = body;
+                }
             }
             Ok(Response::Refused {
                 refusal,
                 retry_after,
             }) => {
                 caller_response.status = refusal.status();
-                caller_response.retry_after = *retry_after;
+                caller_response.retry_after = retry_after;
                 response::encode(&caller_response, bytes);
             }
             Err(status) => {
-                caller_response.status = *status;
+                caller_response.status = status;
                 response::encode(&caller_response, bytes);
             }
         }
-        close
+        (close, large)
+    }
+}
+
+/// Reads the next bytes: to the body of the request in progress if its size is stated, so that it is
+/// not copied, else to the buffer.
+async fn read_more(
+    reader: &mut ReadHalf<'_>,
+    decoder: &mut Decoder,
+    buffer: &mut BytesMut,
+) -> std::io::Result<usize> {
+    match decoder.unread_body().filter(|_| buffer.is_empty()) {
+        Some(mut body) => reader.read_buf(&mut body).await,
+        None => reader.read_buf(buffer).await,
     }
 }
 
--- a/crates/sidecar/src/client/tests.rs
+++ b/crates/sidecar/src/client/tests.rs
@@ -291,8 +291,8 @@
 /// Guards against uploads within the operators' limit that together exceed the memory of the VM
 /// (review/1), and against small requests that are refused beside them.
 #[rstest]
-#[case::one_too_large(&[60 << 20])]
-#[case::many_that_are_too_large_together(&[15 << 20, 15 << 20, 15 << 20])]
+#[case::two_of_the_largest(&[60 << 20, 60 << 20])]
+#[case::many_that_are_too_large_together(&[15 << 20, 15 << 20, 15 << 20, 15 << 20, 15 << 20])]
 #[tokio::test]
 async fn uploads_are_refused_before_they_fill_the_memory(#[case] sizes: &[usize]) {
     LocalSet::new()
@@ -326,14 +326,14 @@
             );
             drop((held, last, small));
             tokio::time::sleep(Duration::from_millis(700)).await;
-            assert_eq!(daemon.held_bodies.get(), 0);
+            assert_eq!(daemon.budget.held(), 0);
         })
         .await;
 }
 
-/// Guards against a body in chunks whose size nobody states beforehand.
+/// Guards against bodies in chunks whose size nobody states beforehand.
 #[tokio::test]
-async fn an_upload_in_chunks_is_refused_when_it_is_too_large() {
+async fn uploads_in_chunks_are_refused_when_they_are_too_large_together() {
     LocalSet::new()
         .run_until(async {
             let (daemon, _endpoint, address) = start_daemon().await;
@@ -343,6 +343,7 @@
             daemon.apply_configuration(limits.into(), 2);
             let chunk = [b"100000\r\n".as_slice(), &vec![b'x'; 1 << 20], b"\r\n"].concat();
             let framing = "Transfer-Encoding: chunked";
+            let _held = start_upload(address, framing, &chunk.repeat(60)).await;
             let mut client = start_upload(address, framing, &chunk.repeat(60)).await;
             let got = read_until(&mut client, "\r\n\r\n").await;
             assert!(got.starts_with("HTTP/1.1 503"), "{got}");
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -20,10 +20,12 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 
+use crate::connections::Connections;
 use crate::frame::Frame;
 use crate::gate::Gate;
 use crate::inbound::Subscribers;
 use crate::logging::LogLimiter;
+use crate::memory::{Budget, KINDS};
 use crate::metrics::Metrics;
 use crate::peer::{Peer, Peers};
 use crate::settings::Settings;
@@ -95,8 +97,10 @@
     closing: Cell<bool>,
     /// Requests that arrived here and whose responses have not been written.
     open_requests: Cell<usize>,
-    /// Bytes of request bodies that are being received or served.
-    pub held_bodies: Cell<usize>,
+    /// Budget of what is held for others.
+    pub budget: Arc<Budget>,
+    /// Connections of clients.
+    pub connections: Connections,
     lost_lines: Arc<AtomicU64>,
 }
 
@@ -129,6 +133,7 @@
         lost_lines: Arc<AtomicU64>,
     ) -> Rc<Self> {
         let mut rng = SmallRng::from_os_rng();
+        let budget = Budget::new(settings.memory.held_bytes());
         Rc::new(Self {
             vm: VmId::clone(&settings.vm),
             data_centre: DataCentreName::clone(&settings.data_centre),
@@ -138,6 +143,7 @@
             gate: Gate::new(
                 settings.endpoint.address,
                 settings.bounds.retry_bound(),
+                Arc::clone(&budget),
                 &*clock,
             ),
             splitter: RefCell::new(WeightedSplitter::new(rng.random())),
@@ -154,7 +160,8 @@
             stopping: Cell::new(None),
             closing: Cell::new(false),
             open_requests: Cell::new(0),
-            held_bodies: Cell::new(0),
+            connections: Connections::default(),
+            budget,
             settings: RefCell::new(settings),
             lost_lines,
             clock,
@@ -438,10 +445,11 @@
     }
 
     /// Returns the number of requests of clients and of the local endpoint whose responses have not
-    /// been written, plus the jobs at the gate.
+    /// been written, plus the jobs at the gate and the responses that other daemons have not
+    /// received whole.
     #[must_use]
     pub fn open_calls(&self) -> usize {
-        self.open_requests.get() + self.gate.active_calls()
+        self.open_requests.get() + self.gate.active_calls() + self.subscribers.unsent_bodies()
     }
 
     /// Updates the gauges.
@@ -452,6 +460,10 @@
         self.metrics
             .vms
             .set(gauge(self.fleet.borrow().len() as u64));
+        for (kind, label) in KINDS {
+            let held = self.metrics.held.with_label_values(&[label]);
+            held.set(gauge(self.budget.held_for(kind) as u64));
+        }
         let version = self.configuration().map_or(0, |active| active.version);
         self.metrics.version.set(gauge(version));
         self.metrics
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -4,12 +4,13 @@
 //! only when nothing unexpected came over it; a stray response that arrives late is recognised by
 //! its id.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use adapter::response::{self, Response, RunStatus};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use policy::clock::Clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +19,7 @@
 use transport::http1::{Decoder, Framing, Message, MessageKind};
 
 use crate::frame::{NotRun, Unknown};
+use crate::memory::{Budget, Grant, Kind, MAX_BODY_BYTES, SMALL_BODY_BYTES};
 
 #[cfg(test)]
 mod tests;
@@ -39,12 +41,8 @@
 /// Largest head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Largest body of a response.
-const MAX_BODY_BYTES: usize = 16 << 20;
-
-/// Largest total of incomplete responses on all connections. The smallest VMs have 160 MB for the
-/// daemon, and a growing buffer can take twice its content for a moment.
-const MAX_HELD_BYTES: usize = 32 << 20;
+/// Bytes by which the memory for a response of unknown size grows.
+const GROWTH_BYTES: usize = 256 << 10;
 
 /// Informational responses (1xx) that may precede a response.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
@@ -76,6 +74,8 @@
     pub id: &'a str,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Its body.
+    pub body: &'a Bytes,
 }
 
 /// An open connection.
@@ -101,45 +101,24 @@
 pub struct Pool {
     address: SocketAddr,
     idle: RefCell<Vec<Idle>>,
-    /// Bytes of incomplete responses on all connections.
-    held_bytes: Cell<usize>,
-}
-
-/// Share of one connection in [`Pool::held_bytes`], which it gives back when dropped.
-struct HeldBytes<'a> {
-    total: &'a Cell<usize>,
-    own: usize,
-}
-
-impl HeldBytes<'_> {
-    /// Sets the bytes that the connection holds; returns whether the total is within its limit.
-    fn set(&mut self, bytes: usize) -> bool {
-        self.total.set(self.total.get() - self.own + bytes);
-        self.own = bytes;
-        self.total.get() <= MAX_HELD_BYTES
-    }
-}
-
-impl Drop for HeldBytes<'_> {
-    fn drop(&mut self) {
-        self.set(0);
-    }
+    /// Budget of the responses.
+    budget: Arc<Budget>,
 }
 
 impl Pool {
     /// Creates an empty pool.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, budget: Arc<Budget>) -> Self {
         Self {
             address,
             idle: RefCell::new(Vec::new()),
-            held_bytes: Cell::new(0),
+            budget,
         }
     }
 
     /// Sends a request and reads its response.
     ///
-    /// `encode` encodes the request right before it is sent, or returns why it must no longer be
+    /// `encode` encodes the head of the request right before it is sent, or returns why it must no longer be
     /// sent.
     pub async fn exchange(
         &self,
@@ -150,19 +129,16 @@
         let Some(mut connection) = self.connection(clock, outgoing).await else {
             return Exchange::NotSent(NotRun::Unreachable);
         };
-        let bytes = match encode() {
-            Ok(bytes) => bytes,
+        let head = match encode() {
+            Ok(head) => head,
             Err(reason) => {
                 connection.reused = true;
                 self.keep(clock, connection, DEFAULT_KEEP_ALIVE);
                 return Exchange::NotSent(reason);
             }
         };
-        let held = HeldBytes {
-            total: &self.held_bytes,
-            own: 0,
-        };
-        let received = transfer(&mut connection.stream, &bytes, outgoing.id, held).await;
+        let grant = self.budget.grant(Kind::Response);
+        let received = transfer(&mut connection.stream, &head, outgoing, grant).await;
         match received {
             Err(reason) => Exchange::Failed(reason),
             // Only an id tells a response from a late copy of an earlier one.
@@ -269,14 +245,16 @@
 /// Sends a request and reads its response at the same time.
 async fn transfer(
     stream: &mut TcpStream,
-    bytes: &[u8],
-    id: &str,
-    held: HeldBytes<'_>,
+    head: &[u8],
+    outgoing: &Outgoing<'_>,
+    grant: Grant,
 ) -> Result<Received, Unknown> {
     let (mut reader, mut writer) = stream.split();
     let mut sent = false;
-    let sending = writer.write_all(bytes);
-    let receiving = receive(&mut reader, id, held);
+    // The head and the body are written by one system call, without a copy of the body.
+    let mut request = Buf::chain(head, Bytes::clone(outgoing.body));
+    let sending = writer.write_all_buf(&mut request);
+    let receiving = receive(&mut reader, outgoing.id, grant);
     tokio::pin!(sending, receiving);
     loop {
         tokio::select! {
@@ -300,14 +278,14 @@
 async fn receive(
     reader: &mut ReadHalf<'_>,
     id: &str,
-    mut held: HeldBytes<'_>,
+    mut grant: Grant,
 ) -> Result<Received, Unknown> {
     let mut decoder = Decoder::new(MessageKind::Response, MAX_HEAD_BYTES, MAX_BODY_BYTES);
     let mut buffer = BytesMut::with_capacity(8 << 10);
     let mut stray = 0;
     let mut informational = 0;
     loop {
-        while let Some(message) = decoder.take(&mut buffer).map_err(|_| Unknown::Damaged)? {
+        while let Some(mut message) = decoder.take(&mut buffer).map_err(|_| Unknown::Damaged)? {
             if message.head.status < 200 {
                 informational += 1;
                 if informational > MAX_INFORMATIONAL_RESPONSES {
@@ -317,6 +295,8 @@
             }
             if response::matches_request(&message.head, id) {
                 let reusable = buffer.is_empty() && stray == 0;
+                grant.resize_when_free(message.body.len()).await;
+                message.body = grant.attach(message.body);
                 return Ok(Received {
                     message,
                     stray,
@@ -328,14 +308,22 @@
                 return Err(Unknown::Damaged);
             }
         }
-        if !held.set(decoder.held_bytes() + buffer.len()) {
+        let needed = needed(&decoder, buffer.len());
+        if needed > grant.largest() {
             return Err(Unknown::Damaged);
         }
-        match reader.read_buf(&mut buffer).await {
+        // Without room the response stays unread, until the deadline of its call.
+        grant.resize_when_free(needed).await;
+        let read = match decoder.unread_body().filter(|_| buffer.is_empty()) {
+            Some(mut body) => reader.read_buf(&mut body).await,
+            None => reader.read_buf(&mut buffer).await,
+        };
+        match read {
             Ok(0) => {
-                let message = decoder.handle_close().ok_or(Unknown::Disconnected)?;
+                let mut message = decoder.handle_close().ok_or(Unknown::Disconnected)?;
                 let complete = message.head.framing == Framing::UntilClose;
                 return if complete && response::matches_request(&message.head, id) {
+                    message.body = grant.attach(message.body);
                     Ok(Received {
                         message,
                         stray,
@@ -350,3 +338,21 @@
         }
     }
 }
+
+/// Returns the memory that the next bytes of a response need: for the whole body if its size is
+/// stated, else for some more than has arrived.
+fn needed(decoder: &Decoder, buffered: usize) -> usize {
+    match decoder.pending().map(|head| head.framing) {
+        Some(Framing::Length(length)) => length,
+        Some(Framing::Chunked | Framing::UntilClose) => {
+            let arrived = decoder.held_bytes() + buffered;
+            if arrived <= SMALL_BODY_BYTES {
+                arrived
+            } else {
+                let steps = arrived / GROWTH_BYTES + 1;
+                (steps * GROWTH_BYTES).min(MAX_BODY_BYTES)
+            }
+        }
+        Some(Framing::Empty) | None => buffered,
+    }
+}
--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -8,6 +8,7 @@
 
 use adapter::request::{self, ForwardedRequest};
 use adapter::response::RunStatus;
+use bytes::Bytes;
 use policy::clock::SystemClock;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,8 +16,9 @@
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
-use super::{Exchange, MAX_BODY_BYTES, MAX_HELD_BYTES, Outgoing, Pool};
+use super::{Exchange, Outgoing, Pool};
 use crate::frame::Unknown;
+use crate::memory::{Budget, MAX_BODY_BYTES};
 
 const RESPONSE: &str = include_str!("../../../../platform/examples/answer.http");
 
@@ -26,6 +28,9 @@
 /// Longest time for which endless bytes may keep a call waiting. Calls have at least 700 ms.
 const BOUND: Duration = Duration::from_millis(500);
 
+/// Budget of the responses.
+const HELD_BYTES: usize = 32 << 20;
+
 fn encoded(id: &str) -> Vec<u8> {
     let forward = ForwardedRequest {
         id,
@@ -47,6 +52,7 @@
     let outgoing = Outgoing {
         id,
         idempotent: true,
+        body: &Bytes::new(),
     };
     pool.exchange(&SystemClock::new(), &outgoing, || Ok(encoded(id)))
         .await
@@ -96,7 +102,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let endless = async {
                 let mut stream = accept(&listener).await;
                 let _ = stream.write_all(start.as_bytes()).await;
@@ -117,52 +123,51 @@
                 "{outcome:?}"
             );
             assert!(pool.idle.borrow().is_empty());
-            assert_eq!(pool.held_bytes.get(), 0);
+            assert_eq!(pool.budget.held(), 0);
         })
         .await;
 }
 
 /// Guards against many large responses that each keep their limit and together exceed the memory of
-/// the VM.
+/// the VM, and against calls that fail although the response only has to wait for memory.
 #[tokio::test]
-async fn incomplete_responses_together_stay_under_one_limit() {
+async fn responses_wait_unread_until_there_is_memory_for_them() {
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Rc::new(Pool::new(address));
-            let length = MAX_BODY_BYTES;
-            let count = MAX_HELD_BYTES / length + 2;
+            let pool = Rc::new(Pool::new(address, Budget::new(HELD_BYTES)));
+            let length = 6 << 20;
             let mut calls = Vec::new();
             let mut endpoints = Vec::new();
-            for _ in 0..count {
+            for _ in 0..5 {
                 let pool = Rc::clone(&pool);
                 calls.push(tokio::task::spawn_local(async move {
-                    exchange(&pool, "a").await
+                    let outcome = exchange(&pool, "a").await;
+                    assert!(pool.budget.held() <= HELD_BYTES);
+                    let Exchange::Answered(_, body) = outcome else {
+                        panic!("{outcome:?}");
+                    };
+                    // The body is held for a while, as by a client that reads.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    body.len()
                 }));
-                let mut stream = accept(&listener).await;
+            }
+            let mut streams = Vec::new();
+            for _ in 0..5 {
+                streams.push(accept(&listener).await);
+            }
+            for mut stream in streams {
                 let head = head(&format!("Content-Length: {length}\r\n"));
                 endpoints.push(tokio::task::spawn_local(async move {
-                    let part = vec![b'x'; length - 1];
                     stream.write_all(head.as_bytes()).await.unwrap();
-                    let _ = stream.write_all(&part).await;
-                    // The rest never comes.
+                    stream.write_all(&vec![b'x'; length]).await.unwrap();
                     stream
                 }));
             }
-            let mut failed = 0;
-            for _ in 0..200 {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                failed = calls.iter().filter(|call| call.is_finished()).count();
-                assert!(pool.held_bytes.get() <= MAX_HELD_BYTES + (1 << 20));
-                if failed + MAX_HELD_BYTES / length >= count {
-                    break;
-                }
-            }
-            assert!(failed >= 1, "no response was given up");
-            assert!(failed < count, "all responses were given up");
-            for call in &calls {
-                call.abort();
+            for call in calls {
+                assert_eq!(call.await.unwrap(), length);
             }
+            assert_eq!(pool.budget.held(), 0);
         })
         .await;
 }
@@ -174,7 +179,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let endpoint = async {
                 let mut stream = accept(&listener).await;
                 let response = RESPONSE.replace("ID", "a");
@@ -234,7 +239,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let mut second = repeated.to_owned();
             if followed {
                 second += &RESPONSE.replace("ID", "b");
@@ -263,7 +268,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let refused = [refusal_of("a")];
             let answered = [RESPONSE.replace("ID", "a")];
             let endpoint = async {
@@ -291,7 +296,7 @@
     LocalSet::new()
         .run_until(async {
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let steps = [refusal_of("b") + REFUSAL];
             let endpoint = async { drop(respond(&listener, &steps).await) };
             let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
@@ -321,7 +326,7 @@
         .run_until(async {
             for end in 0..response.len() {
                 let (listener, address) = listener().await;
-                let pool = Pool::new(address);
+                let pool = Pool::new(address, Budget::new(HELD_BYTES));
                 let mut steps = vec![response[..end].to_owned()];
                 if reused {
                     steps.insert(0, RESPONSE.replace("ID", "z"));
@@ -349,14 +354,14 @@
             let head = head("");
             for end in [0, 12, head.len() - 2, head.len() - 1] {
                 let (listener, address) = listener().await;
-                let pool = Pool::new(address);
+                let pool = Pool::new(address, Budget::new(HELD_BYTES));
                 let steps = [head[..end].to_owned()];
                 let endpoint = async { drop(respond(&listener, &steps).await) };
                 let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
                 assert!(matches!(outcome, Exchange::Failed(_)), "{end}: {outcome:?}");
             }
             let (listener, address) = listener().await;
-            let pool = Pool::new(address);
+            let pool = Pool::new(address, Budget::new(HELD_BYTES));
             let steps = [head + "bo"];
             let endpoint = async { soak::net::reset(respond(&listener, &steps).await) };
             let ((), outcome) = tokio::join!(endpoint, exchange(&pool, "a"));
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -327,12 +327,7 @@
 
 /// Refuses a request whose body is too large to be held beside the others.
 pub fn refuse_body(daemon: &Daemon, bytes: usize) -> Response {
-    if daemon
-        .log_limiter
-        .allows(daemon.clock.now(), "body_refused")
-    {
-        info!(event = "body_refused", bytes = bytes, held = daemon.held_bodies.get(); "the request has not run");
-    }
+    record_refused_body(daemon, bytes);
     let random: f64 = daemon.rng.borrow_mut().random();
     Response::Refused {
         refusal: Refusal::NotRun(NotRun::Busy),
@@ -340,6 +335,17 @@
     }
 }
 
+/// Records that a body was refused.
+pub fn record_refused_body(daemon: &Daemon, bytes: usize) {
+    daemon.metrics.bodies_refused.inc();
+    if daemon
+        .log_limiter
+        .allows(daemon.clock.now(), "body_refused")
+    {
+        info!(event = "body_refused", bytes = bytes, held = daemon.budget.held(); "the request has not run");
+    }
+}
+
 /// Returns the time for which the caller waits: that of the request, else that of the route.
 fn client_timeout(request: &Request, route: &Route) -> Duration {
     request.client_timeout.unwrap_or(route.timeout)
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -26,7 +26,8 @@
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
 
-/// Largest size of a frame without its prefix: the largest body of a deployment and its head.
+/// Largest size of a frame without its prefix: the configuration, which crosses in one frame, and the
+/// entries of the fleet.
 const MAX_FRAME_BYTES: usize = 24 << 20;
 
 /// Factor from a fraction to its value on the wire, which is in thousandths.
@@ -237,6 +238,23 @@
         /// Load of the endpoint.
         load: Load,
     },
+    /// A large body of a call or response waits to be sent; the call or response comes after it.
+    Offer {
+        /// Number of the call.
+        stream: StreamId,
+        /// Size of the body.
+        size: u32,
+    },
+    /// There is room for an offered body.
+    Accept {
+        /// Number of the call.
+        stream: StreamId,
+    },
+    /// The next part of an accepted body follows.
+    Part {
+        /// Number of the call.
+        stream: StreamId,
+    },
     /// Load of the gate's endpoint.
     Load(Load),
     /// Keepalive request.
@@ -316,6 +334,9 @@
     State(Vec<(VmEntry, Position)>, u64),
     Record(String, Option<VmEntry>),
     Recorded(Option<Announcement>),
+    Offer(StreamId, u32),
+    Accept(StreamId),
+    Part(StreamId),
 }
 
 /// Id of a call. Most ids are groups of hexadecimal digits, which are sent in half the bytes.
@@ -494,14 +515,23 @@
     ///
     /// Never: all frames have a serializable form.
     pub fn encode(&mut self, frame: &Frame, body: &[u8], out: &mut Vec<u8>) {
+        self.encode_head(frame, body.len(), out);
+        out.extend_from_slice(body);
+    }
+
+    /// Appends an encoded frame without its body, which has this many bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: all frames have a serializable form.
+    pub fn encode_head(&mut self, frame: &Frame, body_length: usize, out: &mut Vec<u8>) {
         let start = out.len();
         out.extend_from_slice(&[0; PREFIX_BYTES]);
         let buffer = std::mem::take(out);
         let wire = self.wire_head(frame);
         *out = postcard::to_extend(&wire, buffer).expect("frames have a serializable form");
         let head = out.len() - start - PREFIX_BYTES;
-        out.extend_from_slice(body);
-        let total = out.len() - start - PREFIX_BYTES;
+        let total = head + body_length;
         out[start..start + 4].copy_from_slice(&(total as u32).to_le_bytes());
         out[start + 4..start + PREFIX_BYTES].copy_from_slice(&(head as u32).to_le_bytes());
     }
@@ -553,6 +583,9 @@
                 reason,
                 load,
             } => Wire::Unknown(*stream, *reason, *load),
+            Frame::Offer { stream, size } => Wire::Offer(*stream, *size),
+            Frame::Accept { stream } => Wire::Accept(*stream),
+            Frame::Part { stream } => Wire::Part(*stream),
             Frame::Load(load) => Wire::Load(*load),
             Frame::Ping => Wire::Ping,
             Frame::Pong => Wire::Pong,
@@ -660,6 +693,9 @@
                 reason,
                 load,
             },
+            Wire::Offer(stream, size) => Frame::Offer { stream, size },
+            Wire::Accept(stream) => Frame::Accept { stream },
+            Wire::Part(stream) => Frame::Part { stream },
             Wire::Load(load) => Frame::Load(load),
             Wire::Ping => Frame::Ping,
             Wire::Pong => Frame::Pong,
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use adapter::request::{self, ForwardedRequest};
@@ -23,11 +24,13 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
+use crate::arrivals::is_large;
 use crate::daemon::Daemon;
 use crate::endpoint::{Exchange, Outgoing, Pool};
 use crate::frame::{
     CallHead, CallHistory, Frame, Load, NotRun, ResponseHead, SHARE_SCALE, StreamId, Unknown,
 };
+use crate::memory::Budget;
 use crate::metrics::NO_RATE_LIMIT;
 use crate::outbox::Outbox;
 
@@ -103,6 +106,15 @@
 }
 
 impl Deadline {
+    /// Returns the deadline after some time from now.
+    #[must_use]
+    pub fn after(clock: &dyn Clock, left: Duration) -> Self {
+        Self {
+            at: clock.now() + left,
+            boot: clock.boot() + left,
+        }
+    }
+
     /// Returns the time left, by the clock on which less is left.
     #[must_use]
     pub fn left(&self, now: Instant, boot: Duration) -> Duration {
@@ -144,6 +156,17 @@
             Self::Local(sender) => drop(sender.send((outcome, load))),
             Self::Peer { outbox, stream } => {
                 let (frame, body) = match outcome {
+                    Outcome::Answered(response, body) if is_large(body.len()) => {
+                        let finish = move || Frame::Response {
+                            stream,
+                            response,
+                            load,
+                        };
+                        if outbox.push_large(stream, body, finish).is_none() {
+                            outbox.close();
+                        }
+                        return;
+                    }
                     Outcome::Answered(response, body) => (
                         Frame::Response {
                             stream,
@@ -310,7 +333,12 @@
 impl Gate {
     /// Creates the gate of the endpoint at an address. Its instance is not known yet.
     #[must_use]
-    pub fn new(address: std::net::SocketAddr, bound: RetryBound, clock: &dyn Clock) -> Self {
+    pub fn new(
+        address: std::net::SocketAddr,
+        bound: RetryBound,
+        budget: Arc<Budget>,
+        clock: &dyn Clock,
+    ) -> Self {
         let now = clock.now();
         let wall = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         Self {
@@ -323,7 +351,7 @@
             active: RefCell::new(HashMap::new()),
             progress: RefCell::default(),
             budget: RefCell::new(RetryBudget::new(bound, now)),
-            pool: Rc::new(Pool::new(address)),
+            pool: Rc::new(Pool::new(address, budget)),
             parents: RefCell::new(HashMap::new()),
             demand: RefCell::new(DemandEstimator::new(now)),
             room: Cell::default(),
@@ -904,6 +932,7 @@
     let outgoing = Outgoing {
         id: &job.call.id,
         idempotent: job.call.kind.idempotent,
+        body: &job.body,
     };
     let incarnation = daemon.gate.incarnation();
     let encode = || encode_request(daemon, job);
@@ -943,7 +972,7 @@
     }
 }
 
-/// Encodes a job's request, or returns why it must no longer be sent.
+/// Encodes the head of a job's request, or returns why it must no longer be sent.
 fn encode_request(daemon: &Rc<Daemon>, job: &Job) -> Result<Vec<u8>, NotRun> {
     let gate = &daemon.gate;
     if gate.drain_elapsed(daemon, DRAIN_SEND_FRACTION) {
@@ -967,9 +996,8 @@
         caller: &job.call.kind.caller,
         organisation: job.call.organisation.as_deref(),
     };
-    let mut bytes = Vec::with_capacity(512 + job.body.len());
+    let mut bytes = Vec::with_capacity(512);
     request::encode(&forward, &mut bytes);
-    bytes.extend_from_slice(&job.body);
     daemon.metrics.sent.inc();
     Ok(bytes)
 }
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -10,24 +10,38 @@
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::arrivals::Arrivals;
 use crate::daemon::Daemon;
-use crate::frame::{Frame, PROTOCOL_VERSION, StreamId};
+use crate::forward;
+use crate::frame::{Frame, Load, NotRun, PROTOCOL_VERSION, StreamId, Unknown};
 use crate::gate::{Deadline, Job, JobId, OutcomeSender};
 use crate::listener::accept;
+use crate::memory::{Kind, MAX_BODY_BYTES};
 use crate::outbox::Outbox;
 use crate::reader::read_frames;
 
 /// Number of remembered calls of one connection at which the finished ones are removed.
 const PURGE_COUNT: usize = 1_024;
 
+/// Time for which a body may stand still while memory is short: longer than a busy daemon does.
+const MAX_BODY_STALL: Duration = Duration::from_secs(3);
+
 /// Connections from other daemons, which are notified when the local endpoint changes.
 #[derive(Debug, Default)]
-pub struct Subscribers(RefCell<Vec<Outbox>>);
+pub struct Subscribers(RefCell<Vec<Subscriber>>);
+
+/// A connection from another daemon.
+#[derive(Debug)]
+struct Subscriber {
+    outbox: Outbox,
+    arrivals: Arrivals,
+}
 
 impl Subscribers {
     /// Sends a frame to all connected daemons and removes closed connections.
     pub fn notify(&self, frame: &Frame) {
-        self.0.borrow_mut().retain(|outbox| {
+        self.0.borrow_mut().retain(|subscriber| {
+            let outbox = &subscriber.outbox;
             if outbox.push(frame, &[]).is_none() {
                 outbox.close();
             }
@@ -35,8 +49,35 @@
         });
     }
 
-    fn add(&self, outbox: Outbox) {
-        self.0.borrow_mut().push(outbox);
+    /// Returns the number of responses that are being sent in parts.
+    pub fn unsent_bodies(&self) -> usize {
+        let subscribers = self.0.borrow();
+        let unsent = |subscriber: &Subscriber| subscriber.outbox.unsent_bodies();
+        subscribers.iter().map(unsent).sum()
+    }
+
+    /// Gives up bodies that daemons which stand still neither send nor take. An unsent response is
+    /// reported as lost. A connection over which a request has stopped is closed, since its call must
+    /// not run without its body.
+    pub fn drop_stalled(&self) {
+        for subscriber in &*self.0.borrow() {
+            for stream in subscriber.outbox.withdraw_stalled(MAX_BODY_STALL) {
+                let lost = Frame::Unknown {
+                    stream,
+                    reason: Unknown::TimedOut,
+                    load: Load::default(),
+                };
+                subscriber.outbox.push(&lost, &[]);
+            }
+            if subscriber.arrivals.is_stalled(MAX_BODY_STALL) {
+                subscriber.outbox.close();
+            }
+        }
+    }
+
+    fn add(&self, outbox: Outbox, arrivals: Arrivals) {
+        let subscriber = Subscriber { outbox, arrivals };
+        self.0.borrow_mut().push(subscriber);
     }
 }
 
@@ -52,6 +93,7 @@
     daemon: Rc<Daemon>,
     outbox: Outbox,
     jobs: RefCell<HashMap<StreamId, JobId>>,
+    arrivals: Arrivals,
 }
 
 async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream) {
@@ -60,9 +102,10 @@
         return;
     }
     let connection = Connection {
+        outbox: Outbox::new(&daemon.budget),
         daemon,
-        outbox: Outbox::new(),
         jobs: RefCell::new(HashMap::new()),
+        arrivals: Arrivals::default(),
     };
     let (mut reader, mut writer) = stream.split();
     let read = read_frames(
@@ -94,14 +137,16 @@
                     return false;
                 }
                 self.outbox.push(&self.daemon.endpoint_frame(), &[]);
-                self.daemon.subscribers.add(self.outbox.clone());
+                let subscribers = &self.daemon.subscribers;
+                subscribers.add(self.outbox.clone(), self.arrivals.clone());
             }
             Frame::Call { stream, call } => {
-                let left = Duration::from_micros(call.left_us);
-                let deadline = Deadline {
-                    at: self.daemon.clock.now() + left,
-                    boot: self.daemon.clock.boot() + left,
+                let budget = &self.daemon.budget;
+                let Ok(body) = self.arrivals.take(stream, body, budget, Kind::Request) else {
+                    return false;
                 };
+                let left = Duration::from_micros(call.left_us);
+                let deadline = Deadline::after(&*self.daemon.clock, left);
                 let sender = OutcomeSender::Peer {
                     outbox: self.outbox.clone(),
                     stream,
@@ -116,7 +161,12 @@
                     self.remember(stream, id);
                 }
             }
+            Frame::Offer { stream, size } => return self.accept_offer(stream, size as usize),
+            Frame::Part { stream } => return self.arrivals.append(stream, &body).is_ok(),
+            Frame::Accept { stream } => self.outbox.accept(stream),
             Frame::Cancel { stream } => {
+                self.arrivals.forget(stream);
+                self.outbox.withdraw(stream);
                 let id = self.jobs.borrow_mut().remove(&stream);
                 if let Some(id) = id {
                     self.daemon.gate.cancel(&self.daemon, id);
@@ -148,6 +198,30 @@
         true
     }
 
+    /// Makes room for the body of a call, or refuses the call; returns whether the connection stays
+    /// open.
+    fn accept_offer(&self, stream: StreamId, size: usize) -> bool {
+        if size > MAX_BODY_BYTES {
+            return false;
+        }
+        let mut grant = self.daemon.budget.grant(Kind::Request);
+        if grant.resize(size) {
+            self.arrivals.offer(stream, size);
+            // The arrival was noted in the line above.
+            let _ = self.arrivals.accept(stream, grant);
+            self.outbox.push(&Frame::Accept { stream }, &[]);
+        } else {
+            forward::record_refused_body(&self.daemon, size);
+            let refusal = Frame::NotRun {
+                stream,
+                reason: NotRun::Busy,
+                load: self.daemon.gate.load(),
+            };
+            self.outbox.push(&refusal, &[]);
+        }
+        true
+    }
+
     /// Remembers the job of a call, so that the call can be cancelled.
     fn remember(&self, stream: StreamId, id: JobId) {
         let mut jobs = self.jobs.borrow_mut();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -5,7 +5,9 @@
 //! and [`control`] keep the state of the fleet and of the local endpoint up to date. The decisions
 //! are made in the `policy` crate.
 
+pub mod arrivals;
 pub mod client;
+pub mod connections;
 pub mod control;
 pub mod daemon;
 pub mod discovery;
@@ -16,6 +18,7 @@
 pub mod inbound;
 pub mod listener;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod outbox;
 pub mod peer;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds: the latency objectives of the deployments lie
@@ -30,6 +30,14 @@
     pub sent: IntCounter,
     /// Calls per second that the endpoint takes, as it states; -1 without a limit.
     pub rate_limit: Gauge,
+    /// Bytes held for others, by kind.
+    pub held: IntGaugeVec,
+    /// Connections of clients closed for slow reading or sending.
+    pub slow_closed: IntCounter,
+    /// Connections of clients beyond their limit.
+    pub crowded: IntCounter,
+    /// Requests refused because their bodies could not be held.
+    pub bodies_refused: IntCounter,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -69,15 +77,14 @@
         .buckets(LATENCY_BUCKETS_S.to_vec());
         let latency = HistogramVec::new(options, &["rank"]).expect("names of metrics are valid");
         register(&registry, latency.clone());
-        let retries = IntCounter::new("sapphiredoor_repeats_total", "Retries of calls")
-            .expect("names of metrics are valid");
-        register(&registry, retries.clone());
-        let sent = IntCounter::new(
-            "sapphiredoor_gate_sends_total",
-            "Calls sent to the endpoint",
-        )
-        .expect("names of metrics are valid");
-        register(&registry, sent.clone());
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("names of metrics are valid");
+            register(&registry, counter.clone());
+            counter
+        };
+        let held = Opts::new("sapphiredoor_held_bytes", "Bytes held for others");
+        let held = IntGaugeVec::new(held, &["kind"]).expect("names of metrics are valid");
+        register(&registry, held.clone());
         let rate_limit = Gauge::new(
             "sapphiredoor_endpoint_rate_limit",
             "Calls per second that the endpoint takes, as it states; -1 without a limit",
@@ -113,9 +120,25 @@
                 "sapphiredoor_lost_log_lines",
                 "Log lines dropped because standard output was not read in time",
             ),
+            slow_closed: counter(
+                "sapphiredoor_slow_clients_closed_total",
+                "Connections of clients closed for slow reading or sending",
+            ),
+            crowded: counter(
+                "sapphiredoor_connections_full_total",
+                "Connections of clients beyond their limit",
+            ),
+            bodies_refused: counter(
+                "sapphiredoor_bodies_refused_total",
+                "Requests refused because their bodies could not be held",
+            ),
+            retries: counter("sapphiredoor_repeats_total", "Retries of calls"),
+            sent: counter(
+                "sapphiredoor_gate_sends_total",
+                "Calls sent to the endpoint",
+            ),
+            held,
             latency,
-            retries,
-            sent,
             rate_limit,
             registry,
         }
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -19,10 +20,12 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::arrivals::{Arrivals, is_large};
 use crate::daemon::Daemon;
 use crate::frame::{CallHead, Frame, Load, NotRun, PROTOCOL_VERSION, StreamId, Unknown};
-use crate::gate::Outcome;
-use crate::outbox::Outbox;
+use crate::gate::{Deadline, Outcome};
+use crate::memory::{Kind, MAX_BODY_BYTES};
+use crate::outbox::{EndPosition, Outbox};
 use crate::reader::read_frames;
 
 #[cfg(test)]
@@ -49,7 +52,25 @@
 struct Pending {
     sender: oneshot::Sender<(Outcome, Load)>,
     /// Position after the call's last byte in the outbox.
-    end_position: u64,
+    end: End,
+}
+
+/// Position after a call's last byte in the outbox.
+#[derive(Debug)]
+enum End {
+    /// The call was queued whole.
+    Known(u64),
+    /// The call follows its body, which is sent in parts.
+    AfterBody(EndPosition),
+}
+
+impl End {
+    fn get(&self) -> u64 {
+        match self {
+            Self::Known(position) => *position,
+            Self::AfterBody(position) => position.get(),
+        }
+    }
 }
 
 /// A connection to a gate.
@@ -61,6 +82,7 @@
     received_at: Cell<Instant>,
     /// When the unanswered ping was sent, if there is one.
     pinged_at: Cell<Option<Instant>>,
+    arrivals: Arrivals,
 }
 
 /// A VM, the statistics of its endpoint and the connection to its gate.
@@ -89,6 +111,8 @@
         self.peer.stats.borrow_mut().call_ended();
         let pending = self.link.pending.borrow_mut().remove(&self.stream);
         if pending.is_some() {
+            self.link.outbox.withdraw(self.stream);
+            self.link.arrivals.forget(self.stream);
             let cancel = Frame::Cancel {
                 stream: self.stream,
             };
@@ -128,15 +152,19 @@
         let link = self.link(daemon, address);
         let stream = self.next_stream.get();
         self.next_stream.set(stream.wrapping_add(1));
-        let end_position = link.outbox.push(&Frame::Call { stream, call }, body)?;
+        let end = if is_large(body.len()) {
+            let finish = finish_call(daemon, stream, call);
+            let end = link.outbox.push_large(stream, Bytes::clone(body), finish);
+            End::AfterBody(end?)
+        } else {
+            if !body.is_empty() && !daemon.budget.has_room() {
+                return None;
+            }
+            End::Known(link.outbox.push(&Frame::Call { stream, call }, body)?)
+        };
         let (sender, receiver) = oneshot::channel();
-        link.pending.borrow_mut().insert(
-            stream,
-            Pending {
-                sender,
-                end_position,
-            },
-        );
+        let pending = Pending { sender, end };
+        link.pending.borrow_mut().insert(stream, pending);
         self.stats.borrow_mut().call_sent();
         Some(SentCall {
             peer: Rc::clone(self),
@@ -162,8 +190,9 @@
             return Rc::clone(link);
         }
         let link = Rc::new(Link {
-            outbox: Outbox::new(),
+            outbox: Outbox::new(&daemon.budget),
             pending: RefCell::new(HashMap::new()),
+            arrivals: Arrivals::default(),
             received_at: Cell::new(daemon.clock.now()),
             pinged_at: Cell::new(None),
         });
@@ -218,7 +247,15 @@
                 stream,
                 response,
                 load,
-            } => (stream, Outcome::Answered(response, body), load),
+            } => {
+                let budget = &daemon.budget;
+                let Ok(body) = link.arrivals.take(stream, body, budget, Kind::Response) else {
+                    warn!(event = "peer_body_incomplete", vm = &*self.vm; "closing the connection");
+                    link.outbox.close();
+                    return;
+                };
+                (stream, Outcome::Answered(response, body), load)
+            }
             Frame::NotRun {
                 stream,
                 reason,
@@ -229,6 +266,21 @@
                 reason,
                 load,
             } => (stream, Outcome::Unknown(reason), load),
+            Frame::Offer { stream, size } => {
+                self.accept_offer(daemon, link, stream, size as usize);
+                return;
+            }
+            Frame::Part { stream } => {
+                if link.arrivals.append(stream, &body).is_err() {
+                    warn!(event = "peer_body_unexpected", vm = &*self.vm; "closing the connection");
+                    link.outbox.close();
+                }
+                return;
+            }
+            Frame::Accept { stream } => {
+                link.outbox.accept(stream);
+                return;
+            }
             Frame::Endpoint {
                 announcement,
                 stopping,
@@ -261,6 +313,7 @@
         self.stats
             .borrow_mut()
             .record_load(daemon.clock.now(), load.into());
+        link.outbox.withdraw(stream);
         let pending = link.pending.borrow_mut().remove(&stream);
         if let Some(pending) = pending {
             // Sending fails when the caller has stopped waiting in this turn of the event loop.
@@ -268,14 +321,44 @@
         }
     }
 
+    /// Accepts the body of a response once there is room for it. Until then it stays at the gate.
+    fn accept_offer(&self, daemon: &Rc<Daemon>, link: &Link, stream: StreamId, size: usize) {
+        if size > MAX_BODY_BYTES {
+            warn!(event = "peer_body_too_large", vm = &*self.vm, size = size; "closing the connection");
+            link.outbox.close();
+            return;
+        }
+        if !link.pending.borrow().contains_key(&stream) {
+            // The call was cancelled, and the gate learns of it.
+            return;
+        }
+        link.arrivals.offer(stream, size);
+        let mut grant = daemon.budget.grant(Kind::Response);
+        let outbox = link.outbox.clone();
+        let arrivals = link.arrivals.clone();
+        tokio::task::spawn_local(async move {
+            let wait = async {
+                grant.resize_when_free(size).await;
+                if arrivals.accept(stream, grant) {
+                    outbox.push(&Frame::Accept { stream }, &[]);
+                }
+            };
+            tokio::select! {
+                () = wait => {}
+                () = arrivals.forgotten(stream) => {}
+            }
+        });
+    }
+
     /// Closes a connection and reports the outcome of its open calls.
     fn disconnected(&self, daemon: &Rc<Daemon>, link: &Link, cause: &str) {
         link.outbox.close();
+        link.arrivals.clear();
         let pending = link.pending.take();
         self.stats.borrow_mut().record_failure(daemon.clock.now());
         info!(event = "peer_lost", vm = &*self.vm, cause = cause, calls = pending.len(); "");
         for (_, call) in pending {
-            let outcome = if link.outbox.may_have_been_sent(call.end_position) {
+            let outcome = if link.outbox.may_have_been_sent(call.end.get()) {
                 Outcome::Unknown(Unknown::Disconnected)
             } else {
                 Outcome::NotRun(NotRun::Unreachable)
@@ -308,6 +391,21 @@
     }
 }
 
+/// Returns a function that returns the frame of a call once its body has been sent.
+fn finish_call(
+    daemon: &Rc<Daemon>,
+    stream: StreamId,
+    mut call: CallHead,
+) -> impl FnOnce() -> Frame + 'static {
+    let clock = Arc::clone(&daemon.clock);
+    let deadline = Deadline::after(&*clock, Duration::from_micros(call.left_us));
+    move || {
+        let left = deadline.left(clock.now(), clock.boot());
+        call.left_us = left.as_micros() as u64;
+        Frame::Call { stream, call }
+    }
+}
+
 /// Known VMs by name, including this one for the statistics of its own endpoint.
 #[derive(Debug, Default)]
 pub struct Peers(RefCell<HashMap<VmId, Rc<Peer>>>);
@@ -340,7 +438,8 @@
         }
     }
 
-    /// Checks for silent connections as long as the daemon runs.
+    /// Checks for silent connections, and for clients that hold memory which others wait for, as long
+    /// as the daemon runs.
     pub async fn monitor(&self, daemon: &Rc<Daemon>) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -349,6 +448,7 @@
             for peer in peers {
                 peer.check(now);
             }
+            daemon.connections.relieve(daemon);
         }
     }
 }
@@ -402,7 +502,7 @@
 ) -> Option<T> {
     let exchange = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
-        let outbox = Outbox::new();
+        let outbox = Outbox::new(&daemon.budget);
         let hello = Frame::Hello {
             protocol: PROTOCOL_VERSION,
             vm: daemon.vm.to_string(),
--- a/crates/sidecar/src/peer/tests.rs
+++ b/crates/sidecar/src/peer/tests.rs
@@ -7,28 +7,28 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-use crate::frame::{NotRun, Unknown};
+use crate::frame::{Encoder, Frame, NotRun, Unknown};
 use crate::gate::Outcome;
 use crate::testing::{RuntimeClock, call, daemon_at};
 
 /// Sends a call to the gate at an address; returns its outcome.
 async fn outcome(address: SocketAddr) -> Outcome {
+    outcome_of(address, Bytes::from_static(b"body")).await
+}
+
+/// Sends a call with a body to the gate at an address; returns its outcome.
+async fn outcome_of(address: SocketAddr, body: Bytes) -> Outcome {
     let daemon = daemon_at("127.0.0.1:9".parse().unwrap(), Arc::new(RuntimeClock));
     let owner = Rc::clone(&daemon);
     spawn_local(async move { owner.peers.monitor(&owner).await });
     let peer = daemon.peers.get(&"vm-2".into());
     let mut sent = peer
-        .call(
-            &daemon,
-            address,
-            call("a", "i-2"),
-            &Bytes::from_static(b"body"),
-        )
+        .call(&daemon, address, call("a", "i-2"), &body)
         .unwrap();
     (&mut sent.receiver).await.unwrap().0
 }
@@ -79,3 +79,24 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn a_call_whose_gate_ends_within_its_body_has_not_run() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut accept = Vec::new();
+                Encoder::default().encode(&Frame::Accept { stream: 0 }, &[], &mut accept);
+                stream.write_all(&accept).await.unwrap();
+                let mut bytes = vec![0; 100_000];
+                stream.read_exact(&mut bytes).await.unwrap();
+            });
+            let outcome = outcome_of(address, Bytes::from(vec![b'x'; 16 << 20])).await;
+            let not_run = matches!(outcome, Outcome::NotRun(NotRun::Unreachable));
+            assert!(not_run, "{outcome:?}");
+        })
+        .await;
+}
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -159,6 +159,7 @@
             Ok(settings) => {
                 info!(event = "reloaded", changed = new != text; "");
                 daemon.gate.set_retry_bound(settings.bounds.retry_bound());
+                daemon.budget.set_limit(settings.memory.held_bytes());
                 *daemon.settings.borrow_mut() = settings;
             }
             Err(error) => {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -13,6 +13,18 @@
 #[cfg(test)]
 mod tests;
 
+/// Bytes of a megabyte in the limits of a VM.
+const BYTES_PER_MB: usize = 1_000_000;
+
+/// Memory for the process itself, in MB: 10 to 24 when idle, with buffers of all connections.
+const PROCESS_MB: u64 = 36;
+
+/// Descriptors for files, listeners and the store.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Descriptors for connections to other daemons, from them, and to the endpoint.
+const CONNECTION_DESCRIPTORS: usize = 900;
+
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
@@ -33,6 +45,52 @@
     pub store: StoreSettings,
     /// Bounds set by the operators.
     pub bounds: BoundSettings,
+    /// Limits of the process.
+    #[serde(default)]
+    pub memory: MemorySettings,
+}
+
+/// Limits of the process.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MemorySettings {
+    /// Memory of the process, in MB.
+    pub limit_mb: u64,
+    /// Memory that it may hold for others, in MB; derived from the limit if omitted.
+    pub held_mb: Option<u64>,
+    /// Descriptors of the process.
+    pub descriptors: usize,
+    /// Connections of clients; derived from the descriptors if omitted.
+    pub client_connections: Option<usize>,
+}
+
+impl Default for MemorySettings {
+    fn default() -> Self {
+        Self {
+            limit_mb: 160,
+            held_mb: None,
+            descriptors: 4_100,
+            client_connections: None,
+        }
+    }
+}
+
+impl MemorySettings {
+    /// Returns the bytes that the process may hold for others.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let derived = self.limit_mb.saturating_sub(PROCESS_MB);
+        self.held_mb.unwrap_or(derived) as usize * BYTES_PER_MB
+    }
+
+    /// Returns how many connections of clients may be open.
+    #[must_use]
+    pub fn client_connections(&self) -> usize {
+        let reserved = FILE_DESCRIPTORS + CONNECTION_DESCRIPTORS;
+        let derived = self.descriptors.saturating_sub(reserved);
+        self.client_connections.unwrap_or(derived)
+    }
 }
 
 /// Settings of the local endpoint.
@@ -206,6 +264,39 @@
                 });
             }
         }
+        let memory = &self.memory;
+        let at_least = [
+            (
+                "memory.limit_mb",
+                memory.held_bytes() / BYTES_PER_MB,
+                "44 or more, so that 8 MB are left for bodies, or set memory.held_mb",
+            ),
+            (
+                "memory.held_mb",
+                memory.held_bytes() / BYTES_PER_MB,
+                "8 or more",
+            ),
+            (
+                "memory.client_connections",
+                memory.client_connections(),
+                "1 or more, or raise memory.descriptors above 1100",
+            ),
+        ];
+        let least = [8, 8, 1];
+        for ((field, value, expected), least) in at_least.into_iter().zip(least) {
+            let is_derived = field == "memory.limit_mb" && memory.held_mb.is_some();
+            if value < least && !is_derived {
+                let found = match field {
+                    "memory.limit_mb" => memory.limit_mb.to_string(),
+                    _ => value.to_string(),
+                };
+                return Err(SettingsError::Value {
+                    field,
+                    found,
+                    expected,
+                });
+            }
+        }
         let not_negative = BTreeMap::from([
             ("bounds.repeat_ratio", self.bounds.repeat_ratio),
             ("bounds.repeat_slack", self.bounds.repeat_slack),
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -4,7 +4,8 @@
 //! heads. The framing of bodies follows RFC 9112, but everything that two parsers could read
 //! differently is rejected, so that no smuggled request reaches an endpoint.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::buf::Limit;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 #[cfg(test)]
 mod tests;
@@ -15,6 +16,9 @@
 /// Maximum length of a chunk-size line, extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Size up to which a body of unknown size grows step by step.
+const MAX_GROWN_BODY_BYTES: usize = 256 << 10;
+
 /// Why bytes are rejected as a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DecodeError {
@@ -79,6 +83,12 @@
         &self.raw[span.start as usize..span.end as usize]
     }
 
+    /// Returns the length of the head in bytes.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.raw.len()
+    }
+
     /// Returns the method of a request.
     #[must_use]
     pub fn method(&self) -> &str {
@@ -178,6 +188,23 @@
         self.body.len()
     }
 
+    /// Returns where the next bytes of a body with a length can be read to directly, after the
+    /// buffer has been taken.
+    pub fn unread_body(&mut self) -> Option<Limit<&mut BytesMut>> {
+        let Framing::Length(length) = self.head.as_ref()?.framing else {
+            return None;
+        };
+        let missing = length - self.body.len();
+        (missing > 0).then(|| (&mut self.body).limit(missing))
+    }
+
+    /// Whether the body of the message in progress has been read whole.
+    #[must_use]
+    pub fn has_whole_body(&self) -> bool {
+        let framing = self.head.as_ref().map(|head| head.framing);
+        matches!(framing, Some(Framing::Length(length)) if self.body.len() == length)
+    }
+
     /// Takes the bytes of the next message from the buffer.
     ///
     /// Returns the message once it is complete, and `None` when more bytes are needed.
@@ -186,7 +213,8 @@
     ///
     /// Fails if the bytes are rejected. The connection cannot be used any more.
     pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Message>, DecodeError> {
-        if self.head.is_none() {
+        let is_new = self.head.is_none();
+        if is_new {
             self.head = self.take_head(buffer)?;
         }
         let Some(head) = &self.head else {
@@ -197,8 +225,13 @@
             Framing::Length(length) => {
                 if self.body.is_empty() && buffer.len() >= length {
                     self.body = buffer.split_to(length);
+                } else if is_new {
+                    // The caller first sees how much memory the body needs.
+                    return Ok(None);
                 } else {
+                    // A body that grew would be copied, and held twice meanwhile.
                     let missing = length - self.body.len();
+                    self.body.reserve(missing);
                     let part = buffer.split_to(missing.min(buffer.len()));
                     self.body.extend_from_slice(&part);
                 }
@@ -209,7 +242,7 @@
                 if self.body.len() + buffer.len() > self.max_body {
                     return Err(DecodeError::BodyTooLarge);
                 }
-                self.body.extend_from_slice(&buffer.split());
+                append(&mut self.body, &buffer.split(), self.max_body);
                 false
             }
         };
@@ -286,7 +319,7 @@
                 }
                 ChunkState::Data(size) => {
                     let part = buffer.split_to(size.min(buffer.len()));
-                    self.body.extend_from_slice(&part);
+                    append(&mut self.body, &part, self.max_body);
                     if part.len() < size {
                         self.chunk = ChunkState::Data(size - part.len());
                         return Ok(false);
@@ -320,6 +353,16 @@
     }
 }
 
+/// Appends to a body whose size is not known. A large one gets the address space of the largest at
+/// once: growing would copy it, and the memory is used only as it is written.
+fn append(body: &mut BytesMut, part: &[u8], max_body: usize) {
+    let length = body.len() + part.len();
+    if length > body.capacity() && length > MAX_GROWN_BODY_BYTES {
+        body.reserve(max_body - body.len());
+    }
+    body.extend_from_slice(part);
+}
+
 /// Takes a line from the buffer, without its CRLF; `None` while it is incomplete.
 fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, DecodeError> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -45,6 +45,15 @@
     tune_for(stream, CLIENT_UNACKNOWLEDGED_TIMEOUT)
 }
 
+/// Makes the close of a connection discard the bytes that its peer has not read, with a reset.
+///
+/// # Errors
+///
+/// Fails if the operating system rejects the option.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 fn tune_for(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
