Reject statuses outside the protocol

Cause: the decoder took any three digits for a status, so a faulty endpoint's 000 reached the caller. The bytes after an interim response with a length were decoded as the final response.

Change: the decoder rejects statuses outside 100 to 599, and interim responses with a body. A status outside 200 to 599 in a frame of another daemon makes the outcome unknown, so the caller gets 502 or the call is tried again where that is allowed.

--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
+use transport::http1::FINAL_STATUSES;
 
 use crate::arrivals::{Arrivals, is_large};
 use crate::daemon::Daemon;
@@ -254,7 +255,13 @@
                     link.outbox.close();
                     return;
                 };
-                (stream, Outcome::Answered(response, body), load)
+                // The daemon of a faulty endpoint may pass on a status that no response has.
+                let outcome = if FINAL_STATUSES.contains(&response.status) {
+                    Outcome::Answered(response, body)
+                } else {
+                    Outcome::Unknown(Unknown::Damaged)
+                };
+                (stream, outcome, load)
             }
             Frame::NotRun {
                 stream,
--- a/crates/sidecar/src/peer/tests.rs
+++ b/crates/sidecar/src/peer/tests.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-use crate::frame::{Encoder, Frame, NotRun, Unknown};
+use crate::frame::{Encoder, Frame, Load, NotRun, ResponseHead, Unknown};
 use crate::gate::Outcome;
 use crate::testing::{RuntimeClock, call, daemon_at};
 
@@ -100,3 +101,42 @@
         })
         .await;
 }
+
+/// Guards against a status that no HTTP response can have and that is passed on to a caller.
+#[rstest]
+#[case::zero(0)]
+#[case::interim(101)]
+#[case::too_large(600)]
+#[tokio::test]
+async fn a_response_with_a_status_outside_the_protocol_is_damaged(#[case] status: u16) {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let response = ResponseHead {
+                    status,
+                    fields: Vec::new(),
+                    signature: b"s".to_vec(),
+                    held_us: 1,
+                    usage: Vec::new(),
+                };
+                let frame = Frame::Response {
+                    stream: 0,
+                    response,
+                    load: Load::default(),
+                };
+                let mut bytes = Vec::new();
+                Encoder::default().encode(&frame, b"body", &mut bytes);
+                let mut hello = [0; 20];
+                stream.read_exact(&mut hello).await.unwrap();
+                stream.write_all(&bytes).await.unwrap();
+                std::future::pending::<()>().await;
+            });
+            let outcome = outcome(address).await;
+            let damaged = matches!(outcome, Outcome::Unknown(Unknown::Damaged));
+            assert!(damaged, "{outcome:?}");
+        })
+        .await;
+}
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -4,6 +4,8 @@
 //! heads. The framing of bodies follows RFC 9112, but everything that two parsers could read
 //! differently is rejected, so that no smuggled request reaches an endpoint.
 
+use std::ops::RangeInclusive;
+
 use bytes::buf::Limit;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
@@ -19,6 +21,12 @@
 /// Size up to which a body of unknown size grows step by step.
 const MAX_GROWN_BODY_BYTES: usize = 256 << 10;
 
+/// Statuses of final responses.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Statuses of interim responses, which have no body.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+
 /// Why bytes are rejected as a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DecodeError {
@@ -448,12 +456,16 @@
         Ok(httparse::Status::Partial) => Ok(None),
         Err(_) => Err(DecodeError::Head),
         Ok(httparse::Status::Complete(length)) => {
+            let status = response.code.ok_or(DecodeError::Head)?;
+            if !FINAL_STATUSES.contains(&status) && !INTERIM_STATUSES.contains(&status) {
+                return Err(DecodeError::Head);
+            }
             let head = Head {
                 raw: Bytes::new(),
                 method: EMPTY_SPAN,
                 target: EMPTY_SPAN,
                 fields: field_spans(buffer, response.headers),
-                status: response.code.ok_or(DecodeError::Head)?,
+                status,
                 is_http11: response.version == Some(1),
                 framing: Framing::Empty,
                 close: false,
@@ -487,7 +499,13 @@
     if chunked && (length.is_some() || !head.is_http11) {
         return Err(DecodeError::Framing);
     }
-    let has_no_body = kind == MessageKind::Response && matches!(head.status, 100..=199 | 204 | 304);
+    let is_interim = kind == MessageKind::Response && INTERIM_STATUSES.contains(&head.status);
+    // The bytes of its body would be taken for the final response.
+    if is_interim && (chunked || length.is_some_and(|length| length > 0)) {
+        return Err(DecodeError::Framing);
+    }
+    let has_no_body =
+        is_interim || (kind == MessageKind::Response && matches!(head.status, 204 | 304));
     Ok(match (has_no_body, chunked, length, kind) {
         (true, ..) => Framing::Empty,
         (_, true, ..) => Framing::Chunked,
--- a/crates/transport/src/http1/tests.rs
+++ b/crates/transport/src/http1/tests.rs
@@ -76,3 +76,25 @@
     assert!(decoder.take(&mut buffer).unwrap().is_none());
     assert!(decoder.handle_close().is_none());
 }
+
+/// Guards against statuses that no response has, and against a final response that hides in the body
+/// of an interim one.
+#[test]
+fn statuses_outside_the_protocol_are_rejected() {
+    for status in ["000", "099", "600", "999"] {
+        let bytes = format!("HTTP/1.1 {status} S\r\nContent-Length: 0\r\n\r\n");
+        let result = decode(MessageKind::Response, bytes.as_bytes());
+        assert_eq!(result.err(), Some(DecodeError::Head), "{status}");
+    }
+    for status in ["100", "101", "199", "200", "599"] {
+        let bytes = format!("HTTP/1.1 {status} S\r\nContent-Length: 0\r\n\r\n");
+        let message = decode(MessageKind::Response, bytes.as_bytes()).unwrap();
+        assert_eq!(message.unwrap().head.status.to_string(), status);
+    }
+    for field in ["Content-Length: 38", "Transfer-Encoding: chunked"] {
+        let hidden = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        let bytes = format!("HTTP/1.1 103 Early Hints\r\n{field}\r\n\r\n{hidden}");
+        let result = decode(MessageKind::Response, bytes.as_bytes());
+        assert_eq!(result.err(), Some(DecodeError::Framing), "{field}");
+    }
+}
