Close only clients that hold memory when memory is short

A client that had sent a part of a head counted as one that is waited for, so a shortage closed it although that frees nothing; its own time limit of the head ends it. Library tests of the sidecar: 171 pass.

--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -247,8 +247,7 @@
         self.buffered.force(if counted { buffered } else { 0 });
         let wait = match self.stage {
             Stage::Body => Wait::Client,
-            Stage::Head if self.pending.is_empty() => Wait::Client,
-            Stage::Idle if self.pending.is_empty() => Wait::Request,
+            Stage::Idle | Stage::Head if self.pending.is_empty() => Wait::Request,
             Stage::Idle | Stage::Head => Wait::Daemon,
         };
         let held = self.held.bytes() + self.buffered.bytes();
