--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -42,6 +42,8 @@
     pub pace: IntGauge,
     /// Metrics of the quotas of organisations.
     pub quota: QuotaMetrics,
+    /// Metrics of memory and connections.
+    pub memory: MemoryMetrics,
     /// Calls to the store since the start.
     pub store_calls: IntGauge,
     /// Version of the configuration in force.
@@ -71,6 +73,43 @@
     pub owned: IntGauge,
 }
 
+/// Metrics of memory and connections.
+#[derive(Debug)]
+pub struct MemoryMetrics {
+    /// Bytes held for others, by kind.
+    pub held: IntGaugeVec,
+    /// Connections of clients closed for slow reading or sending.
+    pub slow_closed: IntCounter,
+    /// Connections of clients beyond their limit.
+    pub crowded: IntCounter,
+    /// Requests refused because their bodies could not be held.
+    pub bodies_refused: IntCounter,
+}
+
+impl MemoryMetrics {
+    fn new(registry: &Registry) -> Self {
+        let counter = |name: &str, help: &str| new_counter(registry, name, help);
+        let held = Opts::new("sapphiredoor_held_bytes", "Bytes held for others");
+        let held = IntGaugeVec::new(held, &["kind"]).expect("names of metrics are valid");
+        register(registry, held.clone());
+        Self {
+            held,
+            slow_closed: counter(
+                "sapphiredoor_slow_clients_closed_total",
+                "Connections of clients closed for slow reading or sending",
+            ),
+            crowded: counter(
+                "sapphiredoor_connections_full_total",
+                "Connections of clients beyond their limit",
+            ),
+            bodies_refused: counter(
+                "sapphiredoor_bodies_refused_total",
+                "Requests refused because their bodies could not be held",
+            ),
+        }
+    }
+}
+
 impl QuotaMetrics {
     fn new(registry: &Registry) -> Self {
         let counter = |name: &str, help: &str| new_counter(registry, name, help);
@@ -122,11 +161,6 @@
         let latency = HistogramVec::new(options, &["rank"]).expect("names of metrics are valid");
         register(&registry, latency.clone());
         let counter = |name: &str, help: &str| new_counter(&registry, name, help);
-        let retries = counter("sapphiredoor_repeats_total", "Retries of calls");
-        let sent = counter(
-            "sapphiredoor_gate_sends_total",
-            "Calls sent to the endpoint",
-        );
         let rate_limit = Gauge::new(
             "sapphiredoor_endpoint_rate_limit",
             "Calls per second that the endpoint takes, as it states; -1 without a limit",
@@ -193,9 +227,13 @@
                 "sapphiredoor_lost_log_lines",
                 "Log lines dropped because standard output was not read in time",
             ),
+            retries: counter("sapphiredoor_repeats_total", "Retries of calls"),
+            sent: counter(
+                "sapphiredoor_gate_sends_total",
+                "Calls sent to the endpoint",
+            ),
+            memory: MemoryMetrics::new(&registry),
             latency,
-            retries,
-            sent,
             rate_limit,
             backlog,
             registry,
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -4,7 +4,10 @@
 //! heads. The framing of bodies follows RFC 9112, but everything that two parsers could read
 //! differently is rejected, so that no smuggled request reaches an endpoint.
 
-use bytes::{Buf, Bytes, BytesMut};
+use std::ops::RangeInclusive;
+
+use bytes::buf::Limit;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 #[cfg(test)]
 mod tests;
@@ -15,6 +18,15 @@
 /// Maximum length of a chunk-size line, extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Size up to which a body of unknown size grows step by step.
+const MAX_GROWN_BODY_BYTES: usize = 256 << 10;
+
+/// Statuses of final responses.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Statuses of interim responses, which have no body.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+
 /// Why bytes are rejected as a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DecodeError {
@@ -79,6 +91,12 @@
         &self.raw[span.start as usize..span.end as usize]
     }
 
+    /// Returns the length of the head in bytes.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.raw.len()
+    }
+
     /// Returns the method of a request.
     #[must_use]
     pub fn method(&self) -> &str {
@@ -178,6 +196,23 @@
         self.body.len()
     }
 
+    /// Returns where the next bytes of a body with a length can be read to directly, after the
+    /// buffer has been taken.
+    pub fn unread_body(&mut self) -> Option<Limit<&mut BytesMut>> {
+        let Framing::Length(length) = self.head.as_ref()?.framing else {
+            return None;
+        };
+        let missing = length - self.body.len();
+        (missing > 0).then(|| (&mut self.body).limit(missing))
+    }
+
+    /// Whether the body of the message in progress has been read whole.
+    #[must_use]
+    pub fn has_whole_body(&self) -> bool {
+        let framing = self.head.as_ref().map(|head| head.framing);
+        matches!(framing, Some(Framing::Length(length)) if self.body.len() == length)
+    }
+
     /// Takes the bytes of the next message from the buffer.
     ///
     /// Returns the message once it is complete, and `None` when more bytes are needed.
@@ -186,7 +221,8 @@
     ///
     /// Fails if the bytes are rejected. The connection cannot be used any more.
     pub fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Message>, DecodeError> {
-        if self.head.is_none() {
+        let is_new = self.head.is_none();
+        if is_new {
             self.head = self.take_head(buffer)?;
         }
         let Some(head) = &self.head else {
@@ -197,8 +233,13 @@
             Framing::Length(length) => {
                 if self.body.is_empty() && buffer.len() >= length {
                     self.body = buffer.split_to(length);
+                } else if is_new {
+                    // The caller first sees how much memory the body needs.
+                    return Ok(None);
                 } else {
+                    // A body that grew would be copied, and held twice meanwhile.
                     let missing = length - self.body.len();
+                    self.body.reserve(missing);
                     let part = buffer.split_to(missing.min(buffer.len()));
                     self.body.extend_from_slice(&part);
                 }
@@ -209,7 +250,7 @@
                 if self.body.len() + buffer.len() > self.max_body {
                     return Err(DecodeError::BodyTooLarge);
                 }
-                self.body.extend_from_slice(&buffer.split());
+                append(&mut self.body, &buffer.split(), self.max_body);
                 false
             }
         };
@@ -286,7 +327,7 @@
                 }
                 ChunkState::Data(size) => {
                     let part = buffer.split_to(size.min(buffer.len()));
-                    self.body.extend_from_slice(&part);
+                    append(&mut self.body, &part, self.max_body);
                     if part.len() < size {
                         self.chunk = ChunkState::Data(size - part.len());
                         return Ok(false);
@@ -320,6 +361,16 @@
     }
 }
 
+/// Appends to a body whose size is not known. A large one gets the address space of the largest at
+/// once: growing would copy it, and the memory is used only as it is written.
+fn append(body: &mut BytesMut, part: &[u8], max_body: usize) {
+    let length = body.len() + part.len();
+    if length > body.capacity() && length > MAX_GROWN_BODY_BYTES {
+        body.reserve(max_body - body.len());
+    }
+    body.extend_from_slice(part);
+}
+
 /// Takes a line from the buffer, without its CRLF; `None` while it is incomplete.
 fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, DecodeError> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
@@ -405,12 +456,16 @@
         Ok(httparse::Status::Partial) => Ok(None),
         Err(_) => Err(DecodeError::Head),
         Ok(httparse::Status::Complete(length)) => {
+            let status = response.code.ok_or(DecodeError::Head)?;
+            if !FINAL_STATUSES.contains(&status) && !INTERIM_STATUSES.contains(&status) {
+                return Err(DecodeError::Head);
+            }
             let head = Head {
                 raw: Bytes::new(),
                 method: EMPTY_SPAN,
                 target: EMPTY_SPAN,
                 fields: field_spans(buffer, response.headers),
-                status: response.code.ok_or(DecodeError::Head)?,
+                status,
                 is_http11: response.version == Some(1),
                 framing: Framing::Empty,
                 close: false,
@@ -444,7 +499,13 @@
     if chunked && (length.is_some() || !head.is_http11) {
         return Err(DecodeError::Framing);
     }
-    let has_no_body = kind == MessageKind::Response && matches!(head.status, 100..=199 | 204 | 304);
+    let is_interim = kind == MessageKind::Response && INTERIM_STATUSES.contains(&head.status);
+    // The bytes of its body would be taken for the final response.
+    if is_interim && (chunked || length.is_some_and(|length| length > 0)) {
+        return Err(DecodeError::Framing);
+    }
+    let has_no_body =
+        is_interim || (kind == MessageKind::Response && matches!(head.status, 204 | 304));
     Ok(match (has_no_body, chunked, length, kind) {
         (true, ..) => Framing::Empty,
         (_, true, ..) => Framing::Chunked,
