Log the organisation of refused calls

Cause: the log lines of refusals did not say whose call was refused.

Change: call_refused and gate_refused name the organisation.

--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -305,10 +305,16 @@
     daemon.metrics.record_response(&rank, &outcome, time);
     if daemon.log_limiter.allows(now, "call_refused") {
         let name = route.map_or("none", |route| &*route.name);
-        let version = daemon
-            .configuration()
-            .map_or(0, |configuration| configuration.version);
-        info!(event = "call_refused", id = &*request.id, route = name, version = version, status = status, reason:? = refusal, after_ms = time.as_millis() as u64; "");
+        let configuration = daemon.configuration();
+        let version = configuration.as_ref().map_or(0, |active| active.version);
+        let sender = configuration
+            .as_ref()
+            .zip(route)
+            .and_then(|(active, route)| {
+                let sender = active.identify(route, request.credential).ok()?;
+                sender.map(|sender| &*sender.name)
+            });
+        info!(event = "call_refused", id = &*request.id, route = name, organisation = sender.unwrap_or("none"), version = version, status = status, reason:? = refusal, after_ms = time.as_millis() as u64; "");
     }
     let retry_after = (status == 503).then(|| {
         let random: f64 = daemon.rng.borrow_mut().random();
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -804,7 +804,7 @@
         {
             let load = self.load(daemon.clock.now());
             let left = job.deadline.left(daemon.clock.now(), daemon.clock.boot());
-            info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.kind.route, reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
+            info!(event = "gate_refused", id = &*job.call.id, route = &*job.call.kind.route, organisation = job.call.organisation.as_deref().unwrap_or("none"), reason = &*label, left_ms = left.as_millis() as u64, calls = load.calls, limit = load.limit, held_us = load.held_us; "");
         }
         let load = self.load(daemon.clock.now());
         job.sender.send(Outcome::NotRun(reason), load);
