Release the share of an entry that has ended, and start fast without an earlier owner

An entry whose share had ended stopped asking, so its owner heard of the share last and set it aside for 7 s. And at the start of traffic the fleet was older than the 5 s for which a process counts as new, so owners assumed that an earlier owner had told shares.

Change: an entry that has stated a share asks once more after the share has ended. An owner concludes that there was no earlier one when enough entries ask and none of them was told a share in the time for which shares last.

--- a/crates/policy/src/quota/holder.rs
+++ b/crates/policy/src/quota/holder.rs
@@ -56,6 +56,8 @@
     /// Requests refused since the owner was asked last.
     refused: u32,
     share: f64,
+    /// Share that the last ask stated.
+    stated: f64,
     total: Option<f64>,
     /// When an owner replied last.
     told_at: Option<Duration>,
@@ -78,6 +80,7 @@
             denied_until: Duration::ZERO,
             refused: 0,
             share: 0.0,
+            stated: 0.0,
             total: None,
             told_at: None,
             heard: now,
@@ -268,6 +271,7 @@
             unheard: holding.is_unheard(now),
         };
         self.next = self.next.wrapping_add(1);
+        holding.stated = if holding.total.is_some() { share } else { 0.0 };
         holding.held.clear();
         holding.pending = Some((ask.number, now));
         holding.asked_at = now;
@@ -322,11 +326,14 @@
         }
     }
 
-    /// Returns the organisations whose owner must hear from this entry, because it has a share.
+    /// Returns the organisations whose owner must hear from this entry, because it has a share or had
+    /// one when it asked last.
     pub fn due(&mut self, now: Duration) -> Vec<OrganisationKey> {
         self.resume(now);
         let due = self.holdings.iter().filter(|(_, holding)| {
-            holding.share(now) > 0.0 && now.saturating_sub(holding.asked_at) >= BEAT_INTERVAL
+            // The owner sets a stated share aside until it hears that the share has ended.
+            (holding.share(now) > 0.0 || holding.stated > 0.0)
+                && now.saturating_sub(holding.asked_at) >= BEAT_INTERVAL
         });
         due.map(|(key, _)| *key).collect()
     }
--- a/crates/policy/src/quota/owner.rs
+++ b/crates/policy/src/quota/owner.rs
@@ -17,9 +17,8 @@
 /// Smallest rate at which a new owner grants, in requests per second.
 const MIN_START_RATE: f64 = 0.2;
 
-/// Entries that have just started from which on the whole fleet seems to have started, and divisor
-/// of the number of VMs for larger fleets. Two restarted entries beside two that were cut off
-/// exceeded the bound.
+/// Entries without shares from which on there seems to be no earlier owner, and divisor of the number
+/// of VMs for larger fleets. Two restarted entries beside two that were cut off exceeded the bound.
 const STARTED_ENTRIES: usize = 8;
 
 /// Longest time after which an entry may ask again.
@@ -39,8 +38,6 @@
     stated: f64,
     /// Whether its share is set aside, because it may spend it without asking.
     is_silent: bool,
-    /// Whether it was told no share by an earlier owner.
-    is_fresh: bool,
     granted: Recent<6>,
 }
 
@@ -70,7 +67,7 @@
     claimed: f64,
     /// Largest sum of shares under an earlier owner that an entry stated.
     earlier: Option<f64>,
-    /// Whether the whole fleet seems to have started.
+    /// Whether there seems to be no earlier owner.
     all_started: bool,
     /// Until when tokens are promised to refused entries.
     promised: Duration,
@@ -107,13 +104,12 @@
         (reserve * START_FRACTION / OVERLAP_TIME.as_secs_f64()).max(MIN_START_RATE)
     }
 
-    /// Notes whether the whole fleet seems to have started: many entries have asked, and all of them
-    /// have just started. Then no shares were told before. One restarted entry gets no share of its
-    /// own, because another one may spend all of the rate.
+    /// Notes whether there seems to be no earlier owner: many entries have asked, and none of them was
+    /// told a share in the time for which shares last. Then no shares are in use. A single entry
+    /// proves nothing, because another one may spend all of the rate.
     fn review_start(&mut self, vms: usize) {
-        let fresh = self.entries.values().filter(|entry| entry.is_fresh).count();
         let enough = (vms / STARTED_ENTRIES).max(STARTED_ENTRIES);
-        if self.earlier.is_none() && fresh >= enough && fresh == self.entries.len() {
+        if self.earlier.is_none() && self.entries.len() >= enough {
             self.earlier = Some(0.0);
             self.all_started = true;
         }
@@ -219,7 +215,6 @@
                 share: stated,
                 stated: 0.0,
                 is_silent: false,
-                is_fresh,
                 granted: Recent::new(SHARE_WINDOW),
             }
         });
