--- a/crates/sapphiredoor/tests/slow_readers.rs
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -251,6 +251,7 @@
         target,
         id: &format!("attempt-{number}"),
         client_timeout: CLIENT_TIMEOUT,
+        key: None,
         body,
     };
     standin::encode_request(&request, &mut bytes);
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -297,6 +297,7 @@
                 target: &request.target,
                 id: &request.id,
                 client_timeout: request.client_timeout,
+                key: None,
                 body: &request.body,
             };
             standin::encode_request(&sent, &mut bytes);
