Check organisations, keys and quotas in the soak, and state a pace

No process test covered keys, quotas or an endpoint that states how long work takes.

The oracle checks the organisation that endpoints are told, that no key reaches them, that no call without a valid key runs, and the quota in windows of 5 s. Requests without a usual key do not count in the goodput. Endpoints state their load with a pace that changes every 50 ms, and work as fast as they state.

22 tests of the soak pass; with any one of the checks off, a test fails.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -17,6 +17,7 @@
 
 use crate::net::{self, TaskGroup};
 use crate::oracle::{Call, CallEnd, Guarantee, Oracle, VmIndex};
+use crate::organisation;
 
 /// Service whose endpoints make nested calls.
 pub const SHOP: &str = "shop";
@@ -108,6 +109,8 @@
 pub fn routes(version: u64) -> Vec<Route> {
     let kinds = CLIENT_CALLS.into_iter().chain([NESTED_CALL]);
     let route = |kind: CallKind, name: String, prefix: String| Route {
+        // Endpoints and probes send no keys.
+        exempt: kind.name == NESTED_CALL.name,
         name: name.into(),
         host: HOST.to_owned(),
         prefix,
@@ -120,7 +123,6 @@
         objective: Duration::from_millis(kind.timeout_ms / 2),
         rank: kind.rank,
         attempts: MAX_ATTEMPTS,
-        exempt: false,
         services: vec![WeightedService {
             service: kind.service.into(),
             weight: 1.0,
@@ -190,6 +192,8 @@
         target: format!("{}{id}", NESTED_CALL.prefix),
         client_timeout,
         body: Bytes::new(),
+        key: None,
+        is_measured: true,
         probe: false,
     };
     let guard = CancelGuard { id, oracle };
@@ -235,6 +239,8 @@
         target: version_path(version),
         client_timeout: Duration::from_millis(NESTED_CALL.timeout_ms),
         body: Bytes::new(),
+        key: None,
+        is_measured: true,
         probe: true,
     };
     exchange(entry, &request, oracle).await
@@ -248,7 +254,11 @@
     target: String,
     client_timeout: Duration,
     body: Bytes,
-    /// Whether it probes for a configuration version, so that 404 is allowed.
+    /// Key of an organisation.
+    key: Option<String>,
+    /// Whether it counts in the goodput: its key is valid, or none is needed.
+    is_measured: bool,
+    /// Whether it probes for a configuration version, so that 404 is allowed and no key is needed.
     probe: bool,
 }
 
@@ -297,7 +307,7 @@
                 target: &request.target,
                 id: &request.id,
                 client_timeout: request.client_timeout,
-                key: None,
+                key: request.key.as_deref(),
                 body: &request.body,
             };
             standin::encode_request(&sent, &mut bytes);
@@ -307,6 +317,9 @@
                 non_idempotent: request.kind.non_idempotent,
                 max_attempts: MAX_ATTEMPTS as usize,
                 timeout: request.timeout(),
+                key: request.key.clone(),
+                needs_key: !request.probe,
+                is_measured: request.is_measured,
                 sent_at: Instant::now(),
                 end: None,
             };
@@ -376,6 +389,8 @@
     service: &'static str,
     /// Batches per second.
     pub rate: Cell<f64>,
+    /// Newest version of the configuration if it has organisations.
+    pub keys_version: Cell<Option<u64>>,
     rng: RefCell<SmallRng>,
     next_id: Cell<u64>,
     idle: RefCell<Vec<Connection>>,
@@ -403,6 +418,7 @@
             entry,
             service,
             rate: Cell::new(0.0),
+            keys_version: Cell::new(None),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             next_id: Cell::new(0),
             idle: RefCell::default(),
@@ -446,12 +462,18 @@
         } else {
             0
         };
+        let newest = self.keys_version.get();
+        let (key, is_measured) = newest.map_or((None, true), |newest| {
+            organisation::pick_key(&mut rng, newest)
+        });
         Request {
             target: format!("{}{number}?vm={}", kind.prefix, self.entry.vm),
             id,
             kind,
             client_timeout: Duration::from_millis(rng.random_range(300..3_000)),
             body: vec![b'x'; length].into(),
+            key,
+            is_measured,
             probe: false,
         }
     }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -17,6 +17,7 @@
 use crate::client::{self, Entry};
 use crate::net::{self, TaskGroup};
 use crate::oracle::{Arrival, Guarantee, Oracle, RateLimit, VmIndex};
+use crate::organisation::KEY_MARK;
 
 /// Requests that run concurrently.
 const SLOT_COUNT: usize = 4;
@@ -115,6 +116,7 @@
     pub fault: Cell<Option<Fault>>,
     slots: Semaphore,
     queued: Cell<usize>,
+    started: Instant,
     oracle: Rc<RefCell<Oracle>>,
     tasks: TaskGroup,
 }
@@ -143,6 +145,7 @@
             fault: Cell::new(None),
             slots: Semaphore::new(SLOT_COUNT),
             queued: Cell::new(0),
+            started: Instant::now(),
             oracle,
             tasks: TaskGroup::default(),
         });
@@ -209,10 +212,19 @@
         self.crash().await;
     }
 
-    /// Inserts the statement into a response.
+    /// Returns the time that work takes, in percent of the usual time; it changes every 50 ms.
+    fn pace(&self) -> u32 {
+        60 + (self.started.elapsed().as_millis() / 50 * 37 % 100) as u32
+    }
+
+    /// Inserts the statement and the load into a response.
     fn insert_statement(&self, response: &mut Vec<u8>) {
         let statement = self.statement.get();
         standin::insert_statement(&statement, response);
+        let running = SLOT_COUNT - self.slots.available_permits();
+        let (queued, pace) = (self.queued.get(), self.pace());
+        let load = format!("{running},{queued},{SLOT_COUNT},{pace}");
+        standin::insert_load(&load, response);
         if statement.leaving {
             let mut oracle = self.oracle.borrow_mut();
             oracle.record_leaving(&self.instance, Instant::now());
@@ -296,7 +308,7 @@
             };
             if let Some(status) = rejected {
                 if status != 421 {
-                    self.record_arrival(&received.id, false);
+                    self.record_arrival(&message, &received, false);
                 }
                 let mut response = standin::encode_rejected(status, &received.id);
                 if status != 421 {
@@ -327,15 +339,21 @@
     }
 
     /// Records the arrival of a call; returns whether the same call had arrived before.
-    fn record_arrival(&self, id: &str, ran: bool) -> bool {
+    fn record_arrival(&self, message: &Message, received: &ReceivedRequest, ran: bool) -> bool {
+        let is_key = |value: &[u8]| String::from_utf8_lossy(value).contains(KEY_MARK);
+        let has_key = message.head.fields().any(|(_, value)| is_key(value));
         let arrival = Arrival {
             at: Instant::now(),
             vm: self.config.vm,
             service: self.config.service,
             instance: self.instance.clone(),
+            organisation: received.organisation.clone(),
+            has_key: has_key || received.has_credential,
             ran,
         };
-        self.oracle.borrow_mut().record_arrival(id, arrival)
+        self.oracle
+            .borrow_mut()
+            .record_arrival(&received.id, arrival)
     }
 
     /// Waits for a free slot.
@@ -348,7 +366,7 @@
     /// Runs a request; returns the bytes of the response, or `None` to close the connection.
     async fn run(&self, message: &Message, received: &ReceivedRequest) -> Option<Vec<u8>> {
         let _slot = self.acquire_slot().await;
-        let retried = self.record_arrival(&received.id, true);
+        let retried = self.record_arrival(message, received, true);
         let expected = client::caller_service(&received.id);
         if expected.is_some_and(|service| received.caller.as_deref() != Some(service)) {
             let detail = format!(
@@ -361,7 +379,7 @@
         }
         let work_time = match self.fault.get() {
             Some(Fault::Slow) => self.config.work_time * 10,
-            _ => self.config.work_time,
+            _ => self.config.work_time * self.pace() / 100,
         };
         tokio::time::sleep(work_time).await;
         let mut status = 200;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod net;
 pub mod oracle;
+pub mod organisation;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use adapter::standin::ReceivedResponse;
+use policy::organisation::{Organisation, Quota};
 
 use crate::stall::Stall;
 
@@ -38,6 +39,13 @@
 const RATE_FACTOR: f64 = 1.5;
 const RATE_SLACK: f64 = 5.0;
 
+/// Window over which the runs of an organisation with a quota are counted.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+
+/// Factor of the quota that is allowed in a window, and the runs beyond.
+const QUOTA_FACTOR: f64 = 1.1;
+const QUOTA_SLACK: f64 = 20.0;
+
 /// Index of a VM in its run.
 pub type VmIndex = usize;
 
@@ -71,6 +79,14 @@
     Ended,
     /// The newest configuration is in force at the end, and no daemon goes back to an older one.
     Configured,
+    /// A call that runs carries the name of the organisation that holds its key.
+    Attributed,
+    /// A key never reaches an endpoint.
+    Confidential,
+    /// A call without a key that some version held does not run.
+    Authorised,
+    /// The runs of an organisation stay within its quota.
+    Quota,
     /// Service recovers after the faults.
     Returned,
 }
@@ -114,6 +130,12 @@
     pub max_attempts: usize,
     /// Smaller of the route timeout and the client timeout.
     pub timeout: Duration,
+    /// Key of an organisation that the client sent.
+    pub key: Option<String>,
+    /// Whether its route needs a key when there are organisations.
+    pub needs_key: bool,
+    /// Whether it counts in the goodput.
+    pub is_measured: bool,
     /// Time just before the request was written to its connection.
     pub sent_at: Instant,
     /// When and how it ended.
@@ -131,6 +153,10 @@
     pub service: &'static str,
     /// Instance of the endpoint.
     pub instance: String,
+    /// Organisation that the endpoint was told.
+    pub organisation: Option<String>,
+    /// Whether the request contained a key or the field for one.
+    pub has_key: bool,
     /// Whether the endpoint started to run it.
     pub ran: bool,
 }
@@ -193,6 +219,8 @@
     /// When the daemon acknowledged that an instance leaves.
     leaving: HashMap<String, Instant>,
     rate_limits: Vec<RateLimit>,
+    /// Organisations by key, over all versions.
+    keys: HashMap<String, Organisation>,
     violations: Vec<Violation>,
     /// Violations of time bounds, with the start and the end of the period that was too long.
     timing_violations: Vec<(Violation, Instant, Instant)>,
@@ -233,6 +261,15 @@
         self.rate_limits.push(limit);
     }
 
+    /// Records the organisations of a version with their keys.
+    pub fn record_keys(&mut self, organisations: &[(Organisation, Vec<String>)]) {
+        for (organisation, keys) in organisations {
+            for key in keys {
+                self.keys.insert(key.clone(), organisation.clone());
+            }
+        }
+    }
+
     /// Records a violation.
     pub fn record_violation(&mut self, guarantee: Guarantee, detail: String) {
         self.violations.push(Violation { guarantee, detail });
@@ -274,12 +311,14 @@
         self.calls.is_empty()
     }
 
-    /// Returns the fraction of the calls sent in a period that got a response with status 200.
+    /// Returns the fraction of the measured calls sent in a period that got a response with status 200.
     #[must_use]
     pub fn served_fraction(&self, from: Instant, until: Instant) -> f64 {
         let sent = || {
             let calls = self.calls.values();
-            calls.filter(move |call| call.sent_at >= from && call.sent_at < until)
+            calls.filter(move |call| {
+                call.is_measured && call.sent_at >= from && call.sent_at < until
+            })
         };
         let served = sent().filter(|call| {
             matches!(&call.end, Some((_, CallEnd::Response(response))) if response.status == 200)
@@ -299,6 +338,10 @@
         let mut report = |guarantee, detail| violations.push(Violation { guarantee, detail });
         for (id, call) in &self.calls {
             self.check_call(id, call, &mut report);
+            self.check_sender(id, call, &mut report);
+        }
+        if let Some(detail) = self.excess_runs() {
+            report(Guarantee::Quota, detail);
         }
         let (late, timed_out) = self.late_responses();
         if late.len() >= LATE_RESPONSE_THRESHOLD.0
@@ -331,6 +374,75 @@
         violations
     }
 
+    /// Returns the organisation of a call: for a nested call that of its root.
+    fn organisation_of(&self, id: &str) -> Option<&Organisation> {
+        let root = self.calls.get(id.split('.').next()?)?;
+        self.keys.get(root.key.as_ref()?)
+    }
+
+    /// Checks what endpoints got to know about the sender of a call.
+    fn check_sender(&self, id: &str, call: &Call, report: &mut impl FnMut(Guarantee, String)) {
+        let sender = self.organisation_of(id).map(|sender| &*sender.name);
+        let refused = call.needs_key && !self.keys.is_empty() && sender.is_none();
+        for arrival in self.arrivals.get(id).into_iter().flatten() {
+            let told = arrival.organisation.as_deref();
+            let wrong = told != sender && (told.is_some() || !self.is_orphan(id, arrival));
+            for (violated, guarantee) in [
+                (arrival.has_key, Guarantee::Confidential),
+                (arrival.ran && wrong, Guarantee::Attributed),
+                (arrival.ran && refused, Guarantee::Authorised),
+            ] {
+                if violated {
+                    let vm = arrival.vm;
+                    report(
+                        guarantee,
+                        format!("{id} of {sender:?} at VM {vm} as {told:?}"),
+                    );
+                }
+            }
+        }
+    }
+
+    /// Whether the daemon may have given up the parent of a nested call before, because its client
+    /// no longer waited or a fault ended it.
+    fn is_orphan(&self, id: &str, nested: &Arrival) -> bool {
+        let root = id
+            .split_once('.')
+            .and_then(|(root, _)| self.calls.get(root));
+        root.is_some_and(|root| {
+            let excuses = [DisturbanceKind::Fault, DisturbanceKind::Endpoint];
+            root.end.as_ref().is_some_and(|(at, _)| *at <= nested.at)
+                || self.is_disturbed(None, &excuses, root.sent_at, nested.at)
+        })
+    }
+
+    /// Describes a window in which too many calls of an organisation were sent and run. Nested calls
+    /// do not count.
+    fn excess_runs(&self) -> Option<String> {
+        let mut runs: BTreeMap<&str, (Quota, Vec<[Instant; 2]>)> = BTreeMap::new();
+        for (id, call) in self.calls.iter().filter(|(id, _)| !id.contains('.')) {
+            if let Some(sender) = self.organisation_of(id)
+                && let Some(quota) = sender.quota
+            {
+                let (_, runs) = runs.entry(&sender.name).or_insert((quota, Vec::new()));
+                runs.extend(self.runs(id).map(|run| [call.sent_at, run.at]));
+            }
+        }
+        for (name, (quota, runs)) in &mut runs {
+            runs.sort();
+            let usual = quota.rate * QUOTA_WINDOW.as_secs_f64() + quota.burst;
+            let allowed = usual * QUOTA_FACTOR + QUOTA_SLACK;
+            for (index, [start, _]) in runs.iter().enumerate() {
+                let end = *start + QUOTA_WINDOW;
+                let count = runs[index..].iter().filter(|[_, at]| *at <= end).count();
+                if count as f64 > allowed {
+                    return Some(format!("{count} runs of {name}, {allowed} allowed"));
+                }
+            }
+        }
+        None
+    }
+
     /// Describes a window in which an endpoint got too many calls for the limit that it stated.
     fn excess_rate(&self, limit: &RateLimit) -> Option<String> {
         let from = limit.from + RATE_LIMIT_GRACE;
--- a/crates/soak/src/oracle/tests.rs
+++ b/crates/soak/src/oracle/tests.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use adapter::standin::ReceivedResponse;
+use policy::organisation::{Organisation, Quota};
 
 use super::{
     Arrival, Call, CallEnd, Disturbance, DisturbanceKind, Guarantee, Oracle, RateLimit, RetryBudget,
@@ -24,6 +25,9 @@
         non_idempotent,
         max_attempts: 2,
         timeout: Duration::from_secs(1),
+        key: None,
+        needs_key: true,
+        is_measured: true,
         sent_at,
         end: None,
     }
@@ -35,6 +39,8 @@
         vm: 1,
         service: "shop",
         instance: "i-1".to_owned(),
+        organisation: None,
+        has_key: false,
         ran,
     }
 }
@@ -306,3 +312,119 @@
     assert_eq!(checked(ms(3_000), ms(150)), []);
     assert_eq!(checked(Duration::ZERO, ms(50)), []);
 }
+
+/// Records a key, and the run of a call at an endpoint that was told an organisation.
+fn record_run(
+    id: &str,
+    times: (Instant, Instant),
+    key: Option<&str>,
+    told: Option<&str>,
+    oracle: &mut Oracle,
+) {
+    let quota = Some(Quota {
+        rate: 10.0,
+        burst: 10.0,
+    });
+    let organisation = Organisation {
+        name: "fjord".into(),
+        rank: None,
+        quota,
+    };
+    oracle.record_keys(&[(organisation, vec!["key".to_owned()])]);
+    let key = key.map(str::to_owned);
+    oracle.record_call(
+        id,
+        Call {
+            key,
+            ..call(times.0, false)
+        },
+    );
+    let organisation = told.map(str::to_owned);
+    oracle.record_arrival(
+        id,
+        Arrival {
+            organisation,
+            ..arrival(times.1, true)
+        },
+    );
+    oracle.record_end(id, times.1 + ms(1), response(200, true));
+}
+
+#[test]
+fn finds_runs_with_a_wrong_organisation_or_without_a_valid_key() {
+    use Guarantee::{Attributed, Authorised};
+    let start = Instant::now();
+    let (known, fjord, moor) = (Some("key"), Some("fjord"), Some("moor"));
+    // The parent of the nested call runs from 0 to 10 ms; later a nested call may be anonymous.
+    for (key, told, nested_at, nested, expected) in [
+        (known, fjord, 5, fjord, vec![]),
+        (known, None, 5, fjord, vec![Attributed]),
+        (known, moor, 5, fjord, vec![Attributed]),
+        (known, fjord, 5, None, vec![Attributed]),
+        (known, fjord, 20, None, vec![]),
+        (known, fjord, 20, moor, vec![Attributed]),
+        (None, None, 5, None, vec![Authorised; 2]),
+        (Some("other"), None, 5, None, vec![Authorised; 2]),
+    ] {
+        let mut oracle = Oracle::default();
+        record_run("a", (start, start + ms(9)), key, told, &mut oracle);
+        record_run(
+            "a.0",
+            (start, start + ms(nested_at)),
+            None,
+            nested,
+            &mut oracle,
+        );
+        assert_eq!(
+            violated(&oracle),
+            expected,
+            "{key:?} {told:?} {nested_at} {nested:?}"
+        );
+    }
+}
+
+#[test]
+fn finds_a_key_that_reached_an_endpoint() {
+    for (has_key, expected) in [(true, vec![Guarantee::Confidential]), (false, vec![])] {
+        let mut oracle = Oracle::default();
+        oracle.record_call("a", call(Instant::now(), false));
+        oracle.record_arrival(
+            "a",
+            Arrival {
+                has_key,
+                ..arrival(Instant::now(), false)
+            },
+        );
+        oracle.record_end("a", Instant::now(), response(502, false));
+        assert_eq!(violated(&oracle), expected);
+    }
+}
+
+/// The bound is (10 x 5 + 10) x 1.1 + 20 = 86 runs in 5 s.
+#[test]
+fn finds_runs_beyond_a_quota() {
+    let start = Instant::now();
+    for (count, spacing, delay, is_violated) in [
+        (86, 1, 1, false),
+        (87, 1, 1, true),
+        (87, 1, 5_000, false),
+        (200, 70, 1, false),
+    ] {
+        let mut oracle = Oracle::default();
+        for index in 0..count {
+            let sent = start + ms(index * spacing);
+            let (id, ran) = (format!("a-{index}"), sent + ms(delay));
+            record_run(&id, (sent, ran), Some("key"), Some("fjord"), &mut oracle);
+            // Nested calls do not count.
+            record_run(
+                &format!("{id}.0"),
+                (sent, ran),
+                None,
+                Some("fjord"),
+                &mut oracle,
+            );
+        }
+        let found = violated(&oracle).contains(&Guarantee::Quota);
+        assert_eq!(found, is_violated, "{count} {spacing} {delay}");
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::client;
 use crate::net::TaskGroup;
 use crate::oracle::{DisturbanceKind, Guarantee, Violation};
+use crate::organisation::{self, organisations};
 use crate::plan::{self, Action, FaultClass, Link};
 use crate::stall::StallDetector;
 use crate::store::{self, Store};
@@ -160,7 +161,6 @@
     async fn start(options: &RunOptions, tasks: &TaskGroup) -> io::Result<Rc<Self>> {
         let store = Rc::new(Store::default());
         tasks.spawn(Rc::clone(&store).run_expiry());
-        store.write_configuration(standin::encode_configuration(1, &client::routes(1)));
         let context = RunContext {
             program: options.program.clone(),
             directory: options.directory.clone(),
@@ -174,9 +174,6 @@
         let mut vms = Vec::new();
         for index in 0..options.vms {
             let vm = Vm::new(&context, index, options.seed ^ index as u64)?;
-            vm.write_settings(0)?;
-            vm.start()?;
-            vm.start_endpoint()?;
             vms.push(vm);
         }
         let run = Rc::new(Self {
@@ -186,6 +183,12 @@
             probes: Cell::new(0),
             replaced: Cell::new(0),
         });
+        run.write_configuration(1);
+        for vm in &run.vms {
+            vm.write_settings(0)?;
+            vm.start()?;
+            vm.start_endpoint()?;
+        }
         run.await_ready().await?;
         let owner = Rc::clone(&run);
         tasks.spawn(async move { owner.supervise().await });
@@ -208,6 +211,21 @@
         count
     }
 
+    /// Writes a version of the configuration to the store.
+    fn write_configuration(&self, version: u64) {
+        let keys_version = organisation::is_enabled(self.context.seed).then_some(version);
+        let organisations = keys_version.map(|version| organisations(version, self.vms.len()));
+        let organisations = organisations.unwrap_or_default();
+        self.context.oracle.borrow_mut().record_keys(&organisations);
+        let routes = client::routes(version);
+        let bytes = standin::encode_configuration_with(version, &routes, &organisations);
+        self.context.store.write_configuration(bytes);
+        self.version.set(version);
+        for vm in &self.vms {
+            vm.clients.keys_version.set(keys_version);
+        }
+    }
+
     async fn await_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         for vm in &self.vms {
@@ -383,9 +401,7 @@
             }
             Action::Configure => {
                 let version = self.version.get() + 1;
-                let bytes = standin::encode_configuration(version, &client::routes(version));
-                self.context.store.write_configuration(bytes);
-                self.version.set(version);
+                self.write_configuration(version);
                 Ok(())
             }
             Action::Burst(factor, time) => {
