Measure the goodput before the faults after new quotas have settled

Most of the rest got 429: owners of new quotas grant less at first.

Runs with organisations now have 8 s of load before the measurement instead of 1 s.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,10 @@
 /// Time of load before the first measurement.
 const WARM_UP_TIME: Duration = Duration::from_secs(1);
 
+/// The same with organisations: the owners of new quotas grant less in their first 6 s, and a low
+/// goodput before the faults would make the check of the recovery too easy.
+const QUOTA_WARM_UP_TIME: Duration = Duration::from_secs(8);
+
 /// Time within which the last requests get their responses: the longest client timeout.
 const LAST_RESPONSES_TIME: Duration = Duration::from_secs(3);
 
@@ -109,7 +113,12 @@
     let detector = StallDetector::start();
     let run = Run::start(options, &tasks).await?;
     run.set_rate(1.0);
-    tokio::time::sleep(WARM_UP_TIME).await;
+    tokio::time::sleep(if organisation::is_enabled(options.seed) {
+        QUOTA_WARM_UP_TIME
+    } else {
+        WARM_UP_TIME
+    })
+    .await;
     let start = Instant::now();
     tokio::time::sleep(MEASUREMENT_TIME).await;
 
