Restore the test of incomplete responses and reword two comments

Cause: the test that incomplete responses stay under one limit together had been replaced by one in which all responses end, so nothing watched the limit while responses stall.

Change: the test is back for the present behaviour: stalled responses hold no more than the budget, and the others wait. Two comments spoke of what was measured.

--- a/crates/policy/src/cost/tests.rs
+++ b/crates/policy/src/cost/tests.rs
@@ -1,6 +1,6 @@
 //! Guards against a backlog that drifts from the calls at the gate, against an endpoint that looks
 //! cheap because it fails or because another instance was fast, and against a pace that outlives
-//! what it was measured on.
+//! the samples it was derived from.
 
 use std::time::{Duration, Instant};
 
--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -128,6 +128,44 @@
         .await;
 }
 
+/// Guards against responses that stay incomplete and exceed the limit together while others wait.
+#[tokio::test]
+async fn incomplete_responses_together_stay_under_one_limit() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Rc::new(Pool::new(address, Budget::new(HELD_BYTES)));
+            let length = 6 << 20;
+            let mut calls = Vec::new();
+            for _ in 0..10 {
+                let pool = Rc::clone(&pool);
+                calls.push(tokio::task::spawn_local(async move {
+                    exchange(&pool, "a").await
+                }));
+                let mut stream = accept(&listener).await;
+                let head = head(&format!("Content-Length: {length}\r\n"));
+                tokio::task::spawn_local(async move {
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    let _ = stream.write_all(&vec![b'x'; length - 1]).await;
+                    // The rest never comes.
+                    std::future::pending::<()>().await;
+                });
+            }
+            let mut most = 0;
+            for _ in 0..50 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                most = most.max(pool.budget.held());
+                assert!(pool.budget.held() <= HELD_BYTES);
+            }
+            assert!(most >= length, "no response was received");
+            assert!(calls.iter().all(|call| !call.is_finished()));
+            for call in &calls {
+                call.abort();
+            }
+        })
+        .await;
+}
+
 /// Guards against many large responses that each keep their limit and together exceed the memory of
 /// the VM, and against calls that fail although the response only has to wait for memory.
 #[tokio::test]
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -311,7 +311,7 @@
         self.calls.is_empty()
     }
 
-    /// Returns the fraction of the measured calls sent in a period that got a response with status 200.
+    /// Returns the fraction of the counted calls sent in a period that got a response with status 200.
     #[must_use]
     pub fn served_fraction(&self, from: Instant, until: Instant) -> f64 {
         let sent = || {
