Review: show that an acknowledged departure can be forgotten

An upstream deregisters while the store is down, all daemons are killed and started again, and the store returns with the entry of before.

--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,37 @@
+//! Cases of the second review. Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+
+mod departure;
+mod owners;
+mod shutdown;
+mod world;
+
+use std::path::PathBuf;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let record = PathBuf::from(arguments.next().unwrap_or_else(|| "record.txt".to_owned()));
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    let local = tokio::task::LocalSet::new();
+    let result = local.block_on(&runtime, async {
+        match case.as_str() {
+            "departure" => departure::run(trouble, &record).await,
+            "owners" => owners::run(trouble, &record).await,
+            "shutdown" => shutdown::run(trouble, &record).await,
+            _ => Err(std::io::Error::other("unknown case")),
+        }
+    });
+    let code = match result {
+        Ok(true) => 1,
+        Ok(false) => 0,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
