Review: show a daemon that exceeds the memory of its machine

An upstream sends bodies without a length and without an end. The daemon beside it uses more than the 260 MB of its machine after five seconds, and the requests of other clients on that machine lose their connections.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the second review. Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
 
 mod departure;
+mod memory;
 mod owners;
 mod shutdown;
 mod world;
@@ -20,6 +21,7 @@
     let result = local.block_on(&runtime, async {
         match case.as_str() {
             "departure" => departure::run(trouble, &record).await,
+            "memory" => memory::run(trouble, &record).await,
             "owners" => owners::run(trouble, &record).await,
             "shutdown" => shutdown::run(trouble, &record).await,
             _ => Err(std::io::Error::other("unknown case")),
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -83,6 +83,10 @@
     next_id: Cell<u64>,
 }
 
+/// Bytes that an endpoint in trouble sends at once, and the pause after them: about 40 MB a second on a connection.
+const ENDLESS_PART: usize = 64 << 10;
+const ENDLESS_PAUSE: Duration = Duration::from_millis(1);
+
 /// An endpoint, which announces itself to the daemon on its machine.
 pub struct Endpoint {
     pub instance: String,
@@ -96,6 +100,15 @@
     permits: Semaphore,
     inside: Cell<usize>,
     tasks: TaskGroup,
+    /// Whether its answers have no length and no end.
+    pub endless: Cell<bool>,
+}
+
+/// A connection that a client keeps.
+pub struct Kept {
+    stream: TcpStream,
+    decoder: transport::http1::Decoder,
+    buffer: BytesMut,
 }
 
 fn free_network(vms: usize) -> Option<((u8, u8), u16)> {
@@ -254,6 +267,15 @@
         child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
+    /// Returns the resident memory of a daemon in bytes.
+    pub fn resident(&self, vm: usize) -> u64 {
+        let id = self.processes.borrow()[vm].as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kib.unwrap_or(0) << 10
+    }
+
     /// Ends all processes and removes the temporary folder.
     pub fn end(&self) {
         for vm in 0..self.vms() {
@@ -347,6 +369,54 @@
         answer
     }
 
+    /// Opens a connection of a client on a machine.
+    pub async fn connect(&self, vm: usize) -> Option<Kept> {
+        let stream = TcpStream::connect(self.at(vm, 3)).await.ok()?;
+        Some(Kept {
+            stream,
+            decoder: net::decoder(MessageKind::Response),
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Sends one attempt over a kept connection. Any other answer than a complete one ends the use
+    /// of the connection.
+    pub async fn send_over(
+        &self,
+        kept: &mut Kept,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+    ) -> Answer {
+        let mut bytes = Vec::new();
+        let request = ClientRequest {
+            method: "GET",
+            host: HOST,
+            target: path,
+            id,
+            client_timeout: deadline,
+            key: None,
+            body: b"",
+        };
+        standin::encode_request(&request, &mut bytes);
+        self.note(format!("sent {id} {path} over a kept connection"));
+        let exchange = async {
+            if kept.stream.write_all(&bytes).await.is_err() {
+                return Answer::NotSent;
+            }
+            match net::read_message(&mut kept.stream, &mut kept.decoder, &mut kept.buffer).await {
+                Some(message) => {
+                    let head = standin::decode_response(&message.head);
+                    Answer::Complete(head.status, head.signed)
+                }
+                None => Answer::Ended,
+            }
+        };
+        let answer = timeout(deadline, exchange).await.unwrap_or(Answer::GaveUp);
+        self.note(format!("answered {id} {answer:?}"));
+        answer
+    }
+
     /// Starts an endpoint on a machine.
     pub fn start_endpoint(
         self: &Rc<Self>,
@@ -368,6 +438,7 @@
             permits: Semaphore::new(slots as usize),
             inside: Cell::new(0),
             tasks: TaskGroup::default(),
+            endless: Cell::new(false),
         });
         let owner = Rc::clone(&endpoint);
         endpoint.tasks.spawn(async move {
@@ -434,6 +505,22 @@
         self.world.note(format!("endpoint {} ends", self.instance));
     }
 
+    /// Sends a body without a length and without an end, until the caller closes.
+    async fn send_endless(&self, stream: &mut TcpStream, id: &str) {
+        self.world
+            .note(format!("endless body for {id} from {}", self.instance));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Sapphiredoor-Attempt-Id: {id}\r\n\
+             X-Sapphiredoor-Server-Seal: signed-{id}\r\n\r\n"
+        );
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return;
+        }
+        while stream.write_all(&[b'x'; ENDLESS_PART]).await.is_ok() {
+            sleep(ENDLESS_PAUSE).await;
+        }
+    }
+
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
         let mut decoder = net::decoder(MessageKind::Request);
         let mut buffer = BytesMut::new();
@@ -451,6 +538,10 @@
                 }
                 continue;
             }
+            if self.endless.get() {
+                self.send_endless(&mut stream, &received.id).await;
+                return;
+            }
             self.inside.set(self.inside.get() + 1);
             let response = {
                 let _slot = self.permits.acquire().await;
