Review: show a drain that is acknowledged and ignored after a clock step

An upstream that starts again under its id after the time of day has jumped back has a lower born than before.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,6 +3,7 @@
 mod departure;
 mod memory;
 mod owners;
+mod reborn;
 mod shutdown;
 mod world;
 
@@ -23,6 +24,7 @@
             "departure" => departure::run(trouble, &record).await,
             "memory" => memory::run(trouble, &record).await,
             "owners" => owners::run(trouble, &record).await,
+            "reborn" => reborn::run(trouble, &record).await,
             "shutdown" => shutdown::run(trouble, &record).await,
             _ => Err(std::io::Error::other("unknown case")),
         }
--- a/review/standin-2/src/memory.rs
+++ b/review/standin-2/src/memory.rs
@@ -81,9 +81,11 @@
 
     // Clients beside the endpoint in trouble, with kept connections, call a sound service.
     let lost: Rc<RefCell<Vec<Lost>>> = Rc::default();
-    for _ in 0..12 {
+    for number in 0..24 {
         let (client, lost) = (Rc::clone(world), Rc::clone(&lost));
         world.tasks.spawn(async move {
+            // The clients are not in step with each other.
+            sleep(Duration::from_millis(25) * number).await;
             loop {
                 let Some(mut kept) = client.connect(1).await else {
                     sleep(Duration::from_millis(200)).await;
@@ -104,7 +106,7 @@
                         sleep(Duration::from_millis(200)).await;
                         break;
                     }
-                    sleep(Duration::from_millis(100)).await;
+                    sleep(Duration::from_millis(10)).await;
                 }
             }
         });
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -96,6 +96,7 @@
     work: Duration,
     born: u64,
     sequence: Cell<u64>,
+    state: Cell<State>,
     silent: Cell<bool>,
     permits: Semaphore,
     inside: Cell<usize>,
@@ -423,9 +424,20 @@
         vm: usize,
         slots: u32,
         work: Duration,
+    ) -> std::io::Result<Rc<Endpoint>> {
+        self.start_endpoint_at(vm, slots, work, SystemTime::now())
+    }
+
+    /// Starts an endpoint on a machine whose time of day is this one.
+    pub fn start_endpoint_at(
+        self: &Rc<Self>,
+        vm: usize,
+        slots: u32,
+        work: Duration,
+        time_of_day: SystemTime,
     ) -> std::io::Result<Rc<Endpoint>> {
         let listener = net::bind(self.at(vm, 1))?;
-        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let now = time_of_day.duration_since(SystemTime::UNIX_EPOCH);
         let endpoint = Rc::new(Endpoint {
             instance: format!("i-{}", vm_name(vm)),
             world: Rc::clone(self),
@@ -434,12 +446,17 @@
             work,
             born: now.unwrap_or_default().as_millis() as u64,
             sequence: Cell::new(0),
+            state: Cell::new(State::Ready),
             silent: Cell::new(false),
             permits: Semaphore::new(slots as usize),
             inside: Cell::new(0),
             tasks: TaskGroup::default(),
             endless: Cell::new(false),
         });
+        self.note(format!(
+            "endpoint {} starts, born {}",
+            endpoint.instance, endpoint.born
+        ));
         let owner = Rc::clone(&endpoint);
         endpoint.tasks.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -472,7 +489,7 @@
             data_centre: "madrid".into(),
             address: self.world.at(self.vm, 1),
             slots: self.slots,
-            state: State::Ready,
+            state: self.state.get(),
             cold: Duration::ZERO,
             started_ms: self.born,
             sequence: self.sequence.get(),
@@ -486,6 +503,20 @@
         answer.is_some_and(|answer| (200..300).contains(&answer.head.status))
     }
 
+    /// Reports that it is draining, in this heartbeat and all later ones, and goes on serving;
+    /// returns when that was acknowledged.
+    pub async fn drain(&self) -> Option<Instant> {
+        self.state.set(State::Draining);
+        let message = self.heartbeat();
+        self.world.note(format!("{} is draining", self.instance));
+        let acknowledged = self.tell(&message).await;
+        self.world.note(format!(
+            "draining of {} acknowledged: {acknowledged}",
+            self.instance
+        ));
+        acknowledged.then(Instant::now)
+    }
+
     /// Deregisters first, and goes on serving; returns when that was acknowledged.
     pub async fn deregister(&self) -> Option<Instant> {
         self.silent.set(true);
