--- a/review/standin-2/src/departure.rs
+++ b/review/standin-2/src/departure.rs
@@ -17,15 +17,29 @@
 /// Time for which the endpoint goes on serving after its departure.
 const STAY: Duration = Duration::from_secs(15);
 
-pub async fn run(trouble: bool, record: &Path) -> std::io::Result<bool> {
+/// What disturbs the deployment around the departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// Nothing.
+    Calm,
+    /// The store is down, and all daemons are killed.
+    Outage,
+    /// All daemons are killed, and the store returns from a copy some seconds old. A trial.
+    Copy,
+    /// The store is down, the daemon beside the endpoint is killed, and a heartbeat that the endpoint
+    /// sent before its departure arrives late. A trial.
+    Late,
+}
+
+pub async fn run(variant: Variant, record: &Path) -> std::io::Result<bool> {
     let world = World::new(vec!["vitrina", "despacho", "despacho", "despacho"], false)?;
-    let result = play(&world, trouble).await;
+    let result = play(&world, variant).await;
     world.end();
     world.write_record(record)?;
     result
 }
 
-async fn play(world: &Rc<World>, trouble: bool) -> std::io::Result<bool> {
+async fn play(world: &Rc<World>, variant: Variant) -> std::io::Result<bool> {
     let routes = [
         route("catalogo", "vitrina", RetrySafety::Idempotent, 1, 5_000),
         route("tarifa", "despacho", RetrySafety::Idempotent, 1, 5_000),
@@ -63,11 +77,13 @@
     }
     sleep(Duration::from_secs(3)).await;
     let down_at = Instant::now();
-    if trouble {
+    let is_down = matches!(variant, Variant::Outage | Variant::Late);
+    if is_down {
         world.set_store_fault(Some(Fault::Down));
     }
     sleep(Duration::from_secs(1)).await;
     let leaving = &endpoints[1];
+    let late_heartbeat = leaving.heartbeat();
     let Some(acknowledged) = leaving.deregister().await else {
         // The endpoint ends some seconds later, and nothing binds the daemons.
         world.note("the departure was not acknowledged");
@@ -75,17 +91,32 @@
     };
     sleep(Duration::from_millis(500)).await;
     let mut in_touch = acknowledged;
-    if trouble {
-        for vm in 0..world.vms() {
+    if variant != Variant::Calm {
+        let killed = match variant {
+            Variant::Late => 1..2,
+            _ => 0..world.vms(),
+        };
+        for vm in killed.clone() {
             world.kill_daemon(vm);
         }
         sleep(Duration::from_secs(1)).await;
-        for vm in 0..world.vms() {
+        if variant == Variant::Copy {
+            world.note("the store returns from a copy 3 s old");
+            world.store.restore_older(Duration::from_secs(3));
+        }
+        for vm in killed {
             world.start_daemon(vm)?;
         }
         in_touch = Instant::now();
-        sleep(OUTAGE.saturating_sub(down_at.elapsed())).await;
-        world.set_store_fault(None);
+        if variant == Variant::Late {
+            sleep(Duration::from_millis(50)).await;
+            world.note("a heartbeat sent before the departure arrives");
+            leaving.tell(&late_heartbeat).await;
+        }
+        if is_down {
+            sleep(OUTAGE.saturating_sub(down_at.elapsed())).await;
+            world.set_store_fault(None);
+        }
         in_touch = in_touch.max(Instant::now()) + CONTACT;
     }
     sleep(STAY.saturating_sub(acknowledged.elapsed())).await;
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -480,8 +480,15 @@
     }
 }
 
+impl Drop for World {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 impl Endpoint {
-    fn heartbeat(&self) -> Vec<u8> {
+    /// Returns its next heartbeat.
+    pub fn heartbeat(&self) -> Vec<u8> {
         self.sequence.set(self.sequence.get() + 1);
         standin::encode_heartbeat(&Announcement {
             instance: self.instance.as_str().into(),
@@ -497,7 +504,7 @@
     }
 
     /// Sends a message to the daemon on this machine; returns whether it acknowledged in time.
-    async fn tell(&self, message: &[u8]) -> bool {
+    pub async fn tell(&self, message: &[u8]) -> bool {
         let address = self.world.at(self.vm, 4);
         let answer = net::exchange(address, message, Duration::from_secs(1)).await;
         answer.is_some_and(|answer| (200..300).contains(&answer.head.status))
