Review: make the cases independent of which endpoint is picked

The endpoint that leaves is the faster one, as the speeds of the site have it, and the daemon of case 9 is stopped twice.

--- a/review/standin-2/src/departure.rs
+++ b/review/standin-2/src/departure.rs
@@ -49,20 +49,23 @@
     let mut endpoints = Vec::new();
     for vm in 0..world.vms() {
         world.start_daemon(vm)?;
-        endpoints.push(world.start_endpoint(vm, 36, Duration::from_millis(15))?);
+        // The endpoint that will leave is faster than the others, by the speeds 0.6, 1.0 and 1.4
+        // of the site.
+        let work = Duration::from_millis([15, 18, 30, 42][vm]);
+        endpoints.push(world.start_endpoint(vm, 36, work)?);
     }
     if !world.wait_ready(Duration::from_secs(5)).await {
         return Err(std::io::Error::other("the daemons are not ready in 5 s"));
     }
     sleep(Duration::from_secs(4)).await;
-    // Traffic: five requests a second from the clients of each machine.
+    // Traffic: ten requests a second from the clients of each machine.
     let sent: Rc<std::cell::RefCell<Vec<(String, Instant)>>> = Rc::default();
     for vm in 0..world.vms() {
         let clients = Rc::clone(world);
         let sent = Rc::clone(&sent);
         world.tasks.spawn(async move {
             loop {
-                sleep(Duration::from_millis(200)).await;
+                sleep(Duration::from_millis(100)).await;
                 let id = clients.new_id();
                 sent.borrow_mut().push((id.clone(), Instant::now()));
                 let owner = Rc::clone(&clients);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -33,7 +33,9 @@
             "departure-late" => departure::run(departure::Variant::Late, &record).await,
             "memory" => memory::run(trouble, &record).await,
             "owners" => owners::run(trouble, &record).await,
-            "reborn" => reborn::run(trouble, &record).await,
+            "reborn" if trouble => reborn::run(reborn::Variant::Step, &record).await,
+            "reborn" => reborn::run(reborn::Variant::Calm, &record).await,
+            "reborn-forged" => reborn::run(reborn::Variant::Forged, &record).await,
             "shutdown" => shutdown::run(trouble, &record).await,
             _ => Err(std::io::Error::other("unknown case")),
         }
--- a/review/standin-2/src/reborn.rs
+++ b/review/standin-2/src/reborn.rs
@@ -20,17 +20,31 @@
 /// Time for which the endpoint goes on serving after it has reported that it drains.
 const STAY: Duration = Duration::from_secs(8);
 
-const WORK: Duration = Duration::from_millis(15);
+/// Time that a request takes at the endpoint that will leave, and at the other one: the speeds 0.6 and
+/// 1.4 of the site.
+const WORK: Duration = Duration::from_millis(18);
+const SLOW_WORK: Duration = Duration::from_millis(42);
 
-pub async fn run(trouble: bool, record: &Path) -> std::io::Result<bool> {
+/// What disturbs the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Variant {
+    /// Nothing.
+    Calm,
+    /// The time of day is ahead when it starts first.
+    Step,
+    /// A heartbeat comes from another writer, with fields missing. A trial.
+    Forged,
+}
+
+pub async fn run(variant: Variant, record: &Path) -> std::io::Result<bool> {
     let world = World::new(vec!["vitrina", "despacho", "despacho"], false)?;
-    let result = play(&world, trouble).await;
+    let result = play(&world, variant).await;
     world.end();
     world.write_record(record)?;
     result
 }
 
-async fn play(world: &Rc<World>, trouble: bool) -> std::io::Result<bool> {
+async fn play(world: &Rc<World>, variant: Variant) -> std::io::Result<bool> {
     let routes = [route(
         "tarifa",
         "despacho",
@@ -43,13 +57,13 @@
     for vm in 0..world.vms() {
         world.start_daemon(vm)?;
         if vm != 1 {
-            world.start_endpoint(vm, 36, WORK)?;
+            world.start_endpoint(vm, 36, SLOW_WORK)?;
         }
     }
     sleep(Duration::from_secs(4)).await;
     // The endpoint starts, crashes and starts again under the same id.
     let mut time_of_day = SystemTime::now();
-    if trouble {
+    if variant == Variant::Step {
         world.note(format!("the time of day of vm-01 jumps ahead by {STEP:?}"));
         time_of_day += STEP;
     }
@@ -57,21 +71,26 @@
     sleep(FIRST_LIFE).await;
     first.end();
     sleep(Duration::from_millis(200)).await;
-    if trouble {
+    if variant == Variant::Step {
         world.note("the time of day of vm-01 jumps back");
     }
     let second = world.start_endpoint_at(1, 36, WORK, SystemTime::now())?;
     if !world.wait_ready(Duration::from_secs(5)).await {
         return Err(std::io::Error::other("the daemons are not ready in 5 s"));
     }
-    // Traffic: five requests a second from the clients of each machine.
+    if variant == Variant::Forged {
+        world.note("another writer sends a heartbeat without `Version` and `ColdRemainingMs`");
+        let taken = second.tell(&incomplete(&second.heartbeat())).await;
+        world.note(format!("that heartbeat is acknowledged: {taken}"));
+    }
+    // Traffic: ten requests a second from the clients of each machine.
     let sent: Rc<std::cell::RefCell<Vec<(String, Instant)>>> = Rc::default();
     for vm in 0..world.vms() {
         let clients = Rc::clone(world);
         let sent = Rc::clone(&sent);
         world.tasks.spawn(async move {
             loop {
-                sleep(Duration::from_millis(200)).await;
+                sleep(Duration::from_millis(100)).await;
                 let id = clients.new_id();
                 sent.borrow_mut().push((id.clone(), Instant::now()));
                 let owner = Rc::clone(&clients);
@@ -107,3 +126,22 @@
     println!("DRAIN broken by {broken} requests");
     Ok(broken > 0)
 }
+
+/// Returns a heartbeat with a high sequence number and with fields missing.
+fn incomplete(heartbeat: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(heartbeat);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let mut body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    body["Seq"] = 1_000_000.into();
+    if let Some(fields) = body.as_object_mut() {
+        fields.remove("Version");
+        fields.remove("ColdRemainingMs");
+    }
+    let body = body.to_string();
+    let line = head.lines().next().unwrap_or_default();
+    format!(
+        "{line}\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
--- a/review/standin-2/src/shutdown.rs
+++ b/review/standin-2/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! A daemon that gets SIGTERM must answer every request that it has read.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,6 +28,9 @@
 /// endpoint busy with as much as it can finish within their deadline.
 const CLIENTS: usize = 950;
 
+/// How often the daemon is stopped.
+const ROUNDS: usize = 2;
+
 struct Sent {
     id: String,
     at: Instant,
@@ -55,45 +58,30 @@
         return Err(std::io::Error::other("the daemons are not ready in 5 s"));
     }
     sleep(Duration::from_secs(4)).await;
-    let results: Rc<std::cell::RefCell<Vec<Sent>>> = Rc::default();
+    let results: Rc<RefCell<Vec<Sent>>> = Rc::default();
     let stopped: Rc<Cell<bool>> = Rc::default();
-    for client in 0..CLIENTS {
-        let (world, results) = (Rc::clone(world), Rc::clone(&results));
-        let stopped = Rc::clone(&stopped);
-        world.tasks.clone().spawn(async move {
-            // The clients begin one after another, at the rate at which the endpoint works.
-            sleep(WORK * client as u32 / (SLOTS - 2)).await;
-            while !stopped.get() {
-                let id = world.new_id();
-                let at = Instant::now();
-                let answer = world
-                    .send(0, "POST", "/reserva/1", &id, DEADLINE, None)
-                    .await;
-                let refused = !matches!(answer, Answer::Complete(200, _));
-                results.borrow_mut().push(Sent {
-                    id,
-                    at,
-                    ended: Instant::now(),
-                    answer,
-                });
-                if refused {
-                    // A third of the deadline is the longest time that clients honour.
-                    sleep(DEADLINE / 3).await;
-                }
+    start_clients(world, &results, &stopped);
+    let mut signals = Vec::new();
+    for round in 0..ROUNDS {
+        if round > 0 {
+            if trouble {
+                world.start_daemon(0)?;
             }
-        });
-    }
-    sleep(Duration::from_secs(18)).await;
-    let signalled = Instant::now();
-    if trouble {
-        world.signal(0, Signal::TERM);
-    }
-    // After two misses the clients on that machine get no new work.
-    sleep(Duration::from_secs(2)).await;
-    stopped.set(true);
-    sleep(GRACE).await;
-    if trouble && !world.has_exited(0) {
-        return Err(std::io::Error::other("the daemon has not exited"));
+            stopped.set(false);
+            start_clients(world, &results, &stopped);
+        }
+        sleep(Duration::from_secs(16)).await;
+        if trouble {
+            signals.push(Instant::now());
+            world.signal(0, Signal::TERM);
+        }
+        // After two misses the clients on that machine get no new work.
+        sleep(Duration::from_secs(2)).await;
+        stopped.set(true);
+        sleep(GRACE).await;
+        if trouble && !world.has_exited(0) {
+            return Err(std::io::Error::other("the daemon has not exited"));
+        }
     }
     let record = world.record.borrow();
     let mut lost = 0;
@@ -102,7 +90,11 @@
         if sent.answer != Answer::Ended || sent.ended >= sent.at + DEADLINE {
             continue;
         }
-        if sent.ended < signalled || sent.ended < sent.at + LOSS_SLACK {
+        let is_planned = |signalled: &Instant| {
+            let end = *signalled + GRACE + Duration::from_secs(1);
+            sent.ended >= *signalled && sent.ended < end
+        };
+        if !signals.iter().any(is_planned) || sent.ended < sent.at + LOSS_SLACK {
             continue;
         }
         // Requests at which the endpoint was still at work do not count.
@@ -123,3 +115,33 @@
     println!("LOST: {lost} of {all} requests, {excused} more excused");
     Ok(lost > 0)
 }
+
+/// Starts the clients.
+fn start_clients(world: &Rc<World>, results: &Rc<RefCell<Vec<Sent>>>, stopped: &Rc<Cell<bool>>) {
+    for client in 0..CLIENTS {
+        let (world, results) = (Rc::clone(world), Rc::clone(results));
+        let stopped = Rc::clone(stopped);
+        world.tasks.clone().spawn(async move {
+            // The clients begin one after another, at the rate at which the endpoint works.
+            sleep(WORK * client as u32 / (SLOTS - 2)).await;
+            while !stopped.get() {
+                let id = world.new_id();
+                let at = Instant::now();
+                let answer = world
+                    .send(0, "POST", "/reserva/1", &id, DEADLINE, None)
+                    .await;
+                let refused = !matches!(answer, Answer::Complete(200, _));
+                results.borrow_mut().push(Sent {
+                    id,
+                    at,
+                    ended: Instant::now(),
+                    answer,
+                });
+                if refused {
+                    // A third of the deadline is the longest time that clients honour.
+                    sleep(DEADLINE / 3).await;
+                }
+            }
+        });
+    }
+}
