Do not acknowledge a departure that the gate has dropped

Cause: the acknowledgement asked whether the store has the state that the gate knows, which is "ready" when the message was dropped as outdated.

Evidence: the new test failed before in 4 of 7 cases (an outdated sequence number, an earlier start under the same id twice, a start that is not known).

The fix works because the gate now says whether it sends the instance no calls; a message that did not lead there gets 503.

--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -112,9 +112,8 @@
         }
         Purpose::Control => match announcement::decode(message) {
             Ok(decoded) => {
-                let leaves = decoded.leaves();
-                apply_endpoint_message(daemon, decoded);
-                if leaves && !wait_for_record(daemon).await {
+                apply_endpoint_message(daemon, &decoded);
+                if decoded.leaves() && !wait_for_record(daemon, &decoded).await {
                     return (503, Vec::new());
                 }
                 (200, ACKNOWLEDGEMENT.to_vec())
@@ -134,18 +133,18 @@
 }
 
 /// Applies a heartbeat or a departure, and publishes the change.
-fn apply_endpoint_message(daemon: &Rc<Daemon>, message: EndpointMessage) {
+fn apply_endpoint_message(daemon: &Rc<Daemon>, message: &EndpointMessage) {
     let changed = match message {
         EndpointMessage::Heartbeat(announcement) => {
-            daemon.gate.apply_announcement(daemon, announcement)
+            daemon.gate.apply_announcement(daemon, announcement.clone())
         }
         EndpointMessage::Departure {
             instance,
             started_ms,
         } => {
-            let known = daemon.gate.apply_departure(daemon, &instance, started_ms);
+            let known = daemon.gate.apply_departure(daemon, instance, *started_ms);
             if !known {
-                info!(event = "departure_unknown", instance = &*instance; "");
+                info!(event = "departure_unknown", instance = &**instance; "");
             }
             known
         }
@@ -155,12 +154,13 @@
     }
 }
 
-/// Waits until the store has the state of the endpoint; returns whether it has.
+/// Waits until the store has the departure of the sender of a message; returns whether it has.
 ///
 /// An acknowledged departure binds the daemon also after it has been killed and started again. Other
 /// daemons can be killed with it, so only the store keeps a departure. They are told while the store
 /// is away, for the case that this daemon is killed alone. The gate refuses calls meanwhile.
-async fn wait_for_record(daemon: &Rc<Daemon>) -> bool {
+async fn wait_for_record(daemon: &Rc<Daemon>, message: &EndpointMessage) -> bool {
+    let (instance, started_ms) = message.incarnation();
     let tell_others = async {
         tokio::time::sleep(STORE_GRACE).await;
         while discovery::exchange_records(daemon).await == 0 {
@@ -169,15 +169,18 @@
     };
     let record = async {
         tokio::select! {
-            () = daemon.wait_for_record() => {}
-            () = tell_others => daemon.wait_for_record().await,
+            () = daemon.wait_for_departure(instance, started_ms) => {}
+            () = tell_others => daemon.wait_for_departure(instance, started_ms).await,
         }
     };
     if timeout(RECORD_TIMEOUT, record).await.is_ok() {
         return true;
     }
     let known = daemon.gate.announcement();
-    let instance = known.as_ref().map_or("", |known| &*known.instance);
-    warn!(event = "departure_unrecorded", instance = instance; "the store has not taken it; not acknowledging it");
+    let (known, state) = known.map_or_else(
+        || (String::new(), None),
+        |known| (known.instance.to_string(), Some(known.state)),
+    );
+    warn!(event = "departure_unrecorded", instance = instance, born = started_ms.unwrap_or(0), known = &*known, state:? = state; "the gate has not applied it or the store has not taken it; not acknowledging it");
     false
 }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -269,11 +269,12 @@
             .is_some_and(|(known, (kept, era))| known.same_state(kept) && *era == self.store.era())
     }
 
-    /// Waits until the store has the present state of the local endpoint.
-    pub async fn wait_for_record(&self) {
+    /// Waits until the gate has applied the departure of an instance and the store has the state that
+    /// follows from it.
+    pub async fn wait_for_departure(&self, instance: &str, started_ms: Option<u64>) {
         loop {
             let kept = self.record_kept.notified();
-            if self.is_recorded() {
+            if self.gate.has_left(instance, started_ms) && self.is_recorded() {
                 return;
             }
             kept.await;
--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -312,3 +312,34 @@
         })
         .await;
 }
+
+/// Guards against a departure that is acknowledged although the gate has dropped it and goes on
+/// sending calls to the instance.
+#[rstest]
+#[case::an_outdated_sequence(standin::encode_heartbeat(&announcement("i-5", 5, 3, State::Draining)), false)]
+#[case::an_earlier_start_under_the_same_id(standin::encode_heartbeat(&announcement("i-5", 4, 9, State::Draining)), false)]
+#[case::the_end_of_an_earlier_start_under_the_same_id(standin::encode_departure("i-5", 4), false)]
+#[case::the_end_of_a_later_start_that_is_not_known(standin::encode_departure("i-6", 6), false)]
+#[case::the_end_of_an_instance_that_was_replaced(standin::encode_departure("i-4", 4), true)]
+#[case::an_instance_that_was_replaced(standin::encode_heartbeat(&announcement("i-4", 4, 9, State::Draining)), true)]
+#[case::the_known_instance(standin::encode_departure("i-5", 5), true)]
+#[tokio::test]
+async fn a_departure_is_acknowledged_only_if_the_gate_has_applied_it(
+    #[case] message: Vec<u8>,
+    #[case] acknowledged: bool,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (_store, address) = start_store();
+            let process = Process::start("vm-1", address);
+            let ready = announcement("i-5", 5, 4, State::Ready);
+            process
+                .daemon
+                .gate
+                .apply_announcement(&process.daemon, ready);
+            process.daemon.publish_endpoint();
+            sleep(BOUND).await;
+            assert_eq!(process.announce(&message).await, acknowledged);
+        })
+        .await;
+}
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -395,6 +395,23 @@
             .is_some_and(|known| *known.instance == *instance)
     }
 
+    /// Whether an instance gets no calls because it left or because a later one has taken its place.
+    ///
+    /// A start that is not known can be later than the known one: its heartbeat may still arrive.
+    /// Two starts under one id cannot be told apart by those who send calls.
+    #[must_use]
+    pub fn has_left(&self, instance: &str, started_ms: Option<u64>) -> bool {
+        let announcement = self.announcement.borrow();
+        announcement.as_ref().is_some_and(|known| {
+            if *known.instance == *instance {
+                known.state != State::Ready
+                    && started_ms.is_none_or(|started_ms| started_ms == known.started_ms)
+            } else {
+                started_ms.is_some_and(|started_ms| started_ms < known.started_ms)
+            }
+        })
+    }
+
     /// Whether a job is queued or running.
     #[must_use]
     pub fn is_active(&self, id: JobId) -> bool {
