Leave a ready entry from before the return of the store to a heartbeat

Cause: a starting daemon takes over the entry of its predecessor. In a copy the entry can be from before a departure, and nothing else knows of it.

The fix works because an entry now states the era in which it was written. One of an earlier era may be outdated, so a ready endpoint in it is left to its own next heartbeat, which a deregistered endpoint does not send. Within one era the store loses nothing, and entries are taken over as before.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -12,12 +12,13 @@
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
-use policy::fleet::{Announcement, InstanceId, VmEntry};
+use policy::fleet::{Announcement, InstanceId, State, VmEntry};
 use policy::id::{Era, Revision, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
 use policy::position::Position;
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use crate::daemon::Daemon;
@@ -79,6 +80,25 @@
 /// Largest number of gates of one service whose admission share is monitored.
 const MAX_MONITORED_GATES: usize = 8;
 
+/// Entry of a VM as it is written.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct StoredEntry<'a> {
+    #[serde(flatten)]
+    entry: &'a VmEntry,
+    /// Era of the store in which the entry is written.
+    era: Era,
+}
+
+/// What an entry says of the time of its writing. It is decoded apart from the entry, because a
+/// flattened entry is buffered with its unknown fields, which may be nested too deeply for that.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+struct EntryOrigin {
+    /// Era of the store in which the entry was written. Entries of earlier releases lack it.
+    era: Option<Era>,
+}
+
 /// State shared by the tasks of this module.
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -379,7 +399,8 @@
             return None;
         }
         if *vm == *daemon.vm {
-            self.apply_own_entry(daemon, &entry, position);
+            let origin: EntryOrigin = serde_json::from_slice(value).unwrap_or_default();
+            self.apply_own_entry(daemon, &entry, origin.era, position);
         } else {
             daemon
                 .fleet
@@ -394,8 +415,16 @@
     /// Applies the entry of this VM: at the start that of an earlier process, later its own.
     ///
     /// An entry whose endpoint left is taken over too. Without it, a heartbeat that arrives late
-    /// would make the endpoint ready again.
-    fn apply_own_entry(&self, daemon: &Rc<Daemon>, entry: &VmEntry, position: Position) {
+    /// would make the endpoint ready again. `written` is the era in which the entry was written: the
+    /// store may have returned since from a copy that lacks a departure, so an endpoint that is ready
+    /// in an entry of an earlier era is left to its own heartbeat.
+    fn apply_own_entry(
+        &self,
+        daemon: &Rc<Daemon>,
+        entry: &VmEntry,
+        written: Option<Era>,
+        position: Position,
+    ) {
         if self
             .own_position
             .get()
@@ -408,7 +437,12 @@
             && entry.endpoint.address == daemon.settings.borrow().endpoint.address;
         let endpoint = newest_announcement(daemon, entry);
         let (instance, state) = (InstanceId::clone(&endpoint.instance), endpoint.state);
-        if !usable {
+        let is_outdated = state == State::Ready
+            && written.is_some_and(|era| era < position.era)
+            && daemon.gate.announcement().is_none();
+        if is_outdated {
+            info!(event = "entry_not_taken_over", instance = &*instance, state:? = state, era = position.era, written = written; "the store has returned from a copy since; waiting for a heartbeat");
+        } else if !usable {
             info!(event = "entry_not_taken_over", instance = &*instance, state:? = state, service = &*entry.endpoint.service, address:% = entry.endpoint.address; "the entry is of another endpoint");
         } else if daemon.gate.apply_record(daemon, endpoint) {
             info!(event = "entry_taken_over", instance = &*instance, state:? = state, revision = position.revision; "");
@@ -550,7 +584,11 @@
         let Some(entry) = daemon.vm_entry() else {
             return Ok(());
         };
-        let value = serde_json::to_vec(&entry).expect("entries have a serializable form");
+        let stored = StoredEntry {
+            entry: &entry,
+            era: daemon.store.era(),
+        };
+        let value = serde_json::to_vec(&stored).expect("entries have a serializable form");
         let write = Write {
             key: &key,
             value: &value,
--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -343,3 +343,44 @@
         })
         .await;
 }
+
+/// Guards against a departure that is forgotten when all daemons are killed and the store returns
+/// from a copy in which the endpoint is ready: nothing else in the system knows of it.
+#[rstest]
+#[tokio::test]
+async fn a_ready_entry_from_before_the_return_of_the_store_is_left_to_a_heartbeat(
+    #[values(false, true)] departs: bool,
+    #[values(0, 1)] message: usize,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, address) = start_store();
+            let other = start_other(address).await;
+            let first = Process::start("vm-1", address);
+            announce_ready(&first.daemon, 1);
+            sleep(BOUND).await;
+            let copy = store.copy();
+            if departs {
+                assert!(first.announce(&departures()[message]).await);
+            }
+            other.kill();
+            first.kill();
+            store.restore(copy);
+            let _other = Process::start("vm-2", address);
+            let second = Process::start("vm-1", address);
+            sleep(2 * BOUND).await;
+            assert_eq!(known_state(&second.daemon), None);
+            if !departs {
+                // Its next heartbeat shows that the endpoint has not left.
+                announce_ready(&second.daemon, 2);
+                sleep(BOUND).await;
+                assert_eq!(known_state(&second.daemon), Some(State::Ready));
+                second.kill();
+                // The entry has been written again since, so the next process takes it over.
+                let third = Process::start("vm-1", address);
+                sleep(BOUND).await;
+                assert_eq!(known_state(&third.daemon), Some(State::Ready));
+            }
+        })
+        .await;
+}
