Keep the entry of an endpoint that left for 60 s after its daemon

Callers would see: calls to an endpoint that left, when its daemon was killed and its entry expired before the next start, and a heartbeat from before the departure arrived late.

Cause: the entry of a departure was under the lease of 8 s whose end shows others that a VM is lost.

The fix works because a longer lease outlasts outages and late heartbeats. Nobody picks an endpoint that is not ready, so a late end costs nothing.

--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -50,6 +50,11 @@
 /// Lifetime of the lease without renewal: longer than the pauses and freezes that a VM survives.
 const LEASE_LIFETIME: Duration = Duration::from_secs(8);
 
+/// Lifetime of the lease of an entry whose endpoint has left. The entry must outlast the daemon that
+/// wrote it: an outage of the store in which leases expire, a late restart, and heartbeats that the
+/// endpoint sent before and that arrive seconds later.
+const DEPARTED_LEASE_LIFETIME: Duration = Duration::from_secs(60);
+
 /// Time between renewals of the lease: three may be lost.
 const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -99,6 +104,16 @@
     era: Option<Era>,
 }
 
+/// Lease of this VM's entry.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: LeaseId,
+    /// Era in which the store was last known to have it.
+    era: Era,
+    /// Lifetime without renewal that was asked for.
+    lifetime: Duration,
+}
+
 /// State shared by the tasks of this module.
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -106,8 +121,8 @@
     unreachable_since: Cell<Option<Instant>>,
     /// Position of this VM's entry; `None` when it must be read.
     own_position: Cell<Option<Position>>,
-    /// Lease of this VM's entry and the era in which the store was last known to have it.
-    lease: Cell<Option<(LeaseId, Era)>>,
+    /// Lease of this VM's entry.
+    lease: Cell<Option<Lease>>,
     /// Whether this VM's entry in the store is up to date.
     up_to_date: Cell<bool>,
     /// Whether the fleet has been listed once.
@@ -471,12 +486,12 @@
     /// Gives up a lease that the store opened in an earlier era, unless this VM's entry is attached
     /// to it: the copy from which the store returned may lack the lease and give out its id again.
     fn check_lease(&self, era: Era, own_lease: Option<LeaseId>) {
-        let Some((lease, opened)) = self.lease.get() else {
+        let Some(lease) = self.lease.get() else {
             return;
         };
-        if own_lease == Some(lease) {
-            self.lease.set(Some((lease, era)));
-        } else if opened < era {
+        if own_lease == Some(lease.id) {
+            self.lease.set(Some(Lease { era, ..lease }));
+        } else if lease.era < era {
             self.lease.set(None);
             self.rewrite_own_entry(None);
         }
@@ -501,8 +516,8 @@
                 continue;
             }
             let must_renew = daemon.clock.now().saturating_duration_since(renewed) >= interval;
-            if let Some((id, _)) = self.lease.get().filter(|_| must_renew) {
-                match self.renew(&daemon, id).await {
+            if let Some(lease) = self.lease.get().filter(|_| must_renew) {
+                match self.renew(&daemon, lease.id).await {
                     Some(true) => renewed = daemon.clock.now(),
                     Some(false) => self.lease.set(None),
                     None => {}
@@ -563,16 +578,19 @@
         renewed: &mut Instant,
     ) -> Result<(), StoreError> {
         let key = format!("{VM_PREFIX}{}", daemon.vm);
-        let lease = if let Some((lease, _)) = self.lease.get() {
+        let lifetime = lease_lifetime(daemon);
+        let lease = if let Some(lease) = self.lease.get().filter(|lease| lease.lifetime == lifetime)
+        {
             lease
         } else {
-            let shortest = Duration::from_millis(daemon.settings.borrow().store.shortest_lease_ms);
-            let (lease, _) = daemon
-                .store
-                .open_lease(LEASE_LIFETIME.max(shortest))
-                .await?;
+            let (id, _) = daemon.store.open_lease(lifetime).await?;
             *renewed = daemon.clock.now();
-            self.lease.set(Some((lease, daemon.store.era())));
+            let lease = Lease {
+                id,
+                era: daemon.store.era(),
+                lifetime,
+            };
+            self.lease.set(Some(lease));
             lease
         };
         let own = self.own_position.get();
@@ -584,6 +602,11 @@
         let Some(entry) = daemon.vm_entry() else {
             return Ok(());
         };
+        if lease_lifetime(daemon) != lifetime {
+            // The endpoint left, or came, while the store was asked.
+            self.write_needed.notify_one();
+            return Ok(());
+        }
         let stored = StoredEntry {
             entry: &entry,
             era: daemon.store.era(),
@@ -592,7 +615,7 @@
         let write = Write {
             key: &key,
             value: &value,
-            lease,
+            lease: lease.id,
             expected,
         };
         // The position is unknown until the store responds: the write may succeed without a
@@ -738,6 +761,18 @@
     newer.unwrap_or(&entry.endpoint).clone()
 }
 
+/// Returns the lifetime of the lease that the present entry of this VM needs.
+fn lease_lifetime(daemon: &Daemon) -> Duration {
+    let known = daemon.gate.announcement();
+    let lifetime = if known.is_some_and(|known| known.state != State::Ready) {
+        DEPARTED_LEASE_LIFETIME
+    } else {
+        LEASE_LIFETIME
+    };
+    let shortest = Duration::from_millis(daemon.settings.borrow().store.shortest_lease_ms);
+    lifetime.max(shortest)
+}
+
 /// Whether two entries of a VM have the same content.
 fn same_state(a: &VmEntry, b: &VmEntry) -> bool {
     a.peer == b.peer && a.endpoint.same_state(&b.endpoint)
--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use adapter::standin::{self, Transaction};
 use adapter::store;
@@ -384,3 +384,45 @@
         })
         .await;
 }
+
+/// Guards against a departure whose entry expires before the daemon is started again: a heartbeat
+/// that arrives late then makes the endpoint ready.
+#[rstest]
+#[tokio::test]
+async fn a_departure_outlasts_the_lease_of_a_killed_daemon(#[values(0, 1)] message: usize) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, address) = start_store();
+            let first = Process::start("vm-1", address);
+            announce_ready(&first.daemon, 1);
+            sleep(BOUND).await;
+            let mut ready = store.copy();
+            assert!(first.announce(&departures()[message]).await);
+            first.kill();
+            let mut departed = store.copy();
+            // The longest outage of the store on the played days, twice.
+            let later = Instant::now() + Duration::from_secs(16);
+            for copy in [&mut ready, &mut departed] {
+                copy.expire_leases(later);
+            }
+            let key = format!("{VM_PREFIX}vm-1");
+            assert!(ready.value(&key).is_none(), "the entry of a lost VM ends");
+            assert!(departed.value(&key).is_some());
+            store.restore(departed);
+            let second = Process::start("vm-1", address);
+            sleep(BOUND).await;
+            announce_ready(&second.daemon, 8);
+            sleep(BOUND).await;
+            assert_ne!(known_state(&second.daemon), Some(State::Ready));
+            // The next instance is lost like any other.
+            let next = announcement("i-2", 2, 1, State::Ready);
+            second.daemon.gate.apply_announcement(&second.daemon, next);
+            second.daemon.publish_endpoint();
+            sleep(BOUND).await;
+            assert_eq!(stored_state(&store), Some(State::Ready));
+            let mut ready = store.copy();
+            ready.expire_leases(later + 2 * BOUND);
+            assert!(ready.value(&key).is_none());
+        })
+        .await;
+}
