Answer each request that a stopping daemon has read

Cause: stop() left its loop at nine tenths of the grace time and returned; nothing withdrew calls that only waited for a slot.

The fix works because a call that waits is given back by its gate, which alone knows that it has not run, while there is time to write the refusal; a call that runs keeps its time and gets 502 at the end. The frame Withdraw is new, so the protocol between daemons has version 6.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -43,6 +43,10 @@
 /// lines on a busy VM.
 const EXIT_FRACTION: f64 = 0.9;
 
+/// Time before the exit in which the gates answer for withdrawn calls and their refusals are written.
+/// A VM that has used up its quota stands still for a tenth of a second.
+const WITHDRAW_MARGIN: Duration = Duration::from_millis(300);
+
 /// The configuration in force.
 #[derive(Debug)]
 struct ActiveConfiguration {
@@ -101,6 +105,8 @@
     stopping: Cell<Option<Instant>>,
     /// Whether all further calls are refused, because the process is about to exit.
     closing: Cell<bool>,
+    /// Wakes calls when the shutdown begins and when it closes.
+    shutdown_changed: Notify,
     /// Requests that arrived here and whose responses have not been written.
     open_requests: Cell<usize>,
     /// Budget of what is held for others.
@@ -167,6 +173,7 @@
             active: RefCell::new(None),
             stopping: Cell::new(None),
             closing: Cell::new(false),
+            shutdown_changed: Notify::new(),
             open_requests: Cell::new(0),
             connections: Connections::default(),
             budget,
@@ -442,15 +449,66 @@
         self.closing.get() || self.shutdown_deadline().is_some_and(|end| deadline > end)
     }
 
-    /// Refuses all further calls: the process is about to exit.
+    /// Returns when calls that hold a slot for this time must no longer wait for one, because they
+    /// would outlast the process; `None` if no shutdown has begun.
+    #[must_use]
+    pub fn withdrawal_time(&self, hold_time: Duration) -> Option<Instant> {
+        let longest = self.settings.borrow().bounds.grace().mul_f64(EXIT_FRACTION) / 2;
+        let spare = (hold_time + WITHDRAW_MARGIN).min(longest);
+        self.shutdown_deadline().map(|end| end - spare)
+    }
+
+    /// Whether calls that hold a slot for this time must no longer wait for one.
+    #[must_use]
+    pub fn must_withdraw(&self, hold_time: Duration) -> bool {
+        let now = self.clock.now();
+        self.withdrawal_time(hold_time).is_some_and(|at| now >= at)
+    }
+
+    /// Waits until a call must be withdrawn that has this deadline and holds a slot for this time. A
+    /// call that ends before the process is not withdrawn.
+    pub async fn withdrawal(&self, deadline: Instant, hold_time: Duration) {
+        loop {
+            let changed = self.shutdown_changed.notified();
+            if let Some(at) = self.withdrawal_time(hold_time) {
+                if !self.ends_before(deadline) {
+                    return std::future::pending().await;
+                }
+                return tokio::time::sleep_until(at.into()).await;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn closed(&self) {
+        loop {
+            let changed = self.shutdown_changed.notified();
+            if self.closing.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Refuses all further calls and gives up those that still run: the process is about to exit.
     pub fn close(&self) {
         self.closing.set(true);
+        self.shutdown_changed.notify_waiters();
     }
 
     /// Begins the shutdown: from now on other daemons pick other gates.
     pub fn stop(&self) {
         self.stopping.set(Some(self.clock.now()));
         self.subscribers.notify(&self.endpoint_frame());
+        self.shutdown_changed.notify_waiters();
+    }
+
+    /// Returns the number of requests of clients and of the local endpoint whose responses have not
+    /// been written.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.get()
     }
 
     /// Returns the number of requests of clients and of the local endpoint whose responses have not
--- a/crates/sidecar/src/forward.rs
+++ b/crates/sidecar/src/forward.rs
@@ -139,21 +139,54 @@
 }
 
 impl Sent {
-    /// Awaits the outcome until a time limit.
-    async fn outcome(&mut self, limit: Instant) -> (Outcome, Load) {
-        let receiver = match self {
+    fn receiver(&mut self) -> &mut oneshot::Receiver<(Outcome, Load)> {
+        match self {
             Self::Local { receiver, .. } => receiver,
             Self::Peer(sent) => &mut sent.receiver,
+        }
+    }
+
+    /// Withdraws the call unless it has been started.
+    fn withdraw(&self) {
+        match self {
+            Self::Local { daemon, job, .. } => {
+                if let Some(job) = job {
+                    daemon.gate.withdraw(daemon, *job);
+                }
+            }
+            Self::Peer(sent) => sent.withdraw(),
+        }
+    }
+
+    /// Awaits the outcome until the deadline. A call that may outlast this process is withdrawn
+    /// while there is time to refuse it, or is given up if it is still running at the end.
+    async fn outcome(
+        &mut self,
+        daemon: &Daemon,
+        deadline: Instant,
+        hold_time: Duration,
+    ) -> (Outcome, Load) {
+        let withdrawal = daemon.withdrawal(deadline, hold_time);
+        let closed = daemon.closed();
+        let timeout = tokio::time::sleep_until((deadline + OUTCOME_GRACE).into());
+        tokio::pin!(withdrawal, closed, timeout);
+        let mut is_withdrawn = false;
+        let result = loop {
+            tokio::select! {
+                biased;
+                result = self.receiver() => break result.map_err(|_| Unknown::Disconnected),
+                () = &mut withdrawal, if !is_withdrawn => {
+                    is_withdrawn = true;
+                    self.withdraw();
+                }
+                () = &mut closed => break Err(Unknown::Disconnected),
+                () = &mut timeout => break Err(Unknown::TimedOut),
+            }
         };
-        let result = tokio::time::timeout_at(limit.into(), receiver).await;
         if let Self::Local { finished, .. } = self {
-            *finished = matches!(result, Ok(Ok(_)));
-        }
-        match result {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => (Outcome::Unknown(Unknown::Disconnected), Load::default()),
-            Err(_) => (Outcome::Unknown(Unknown::TimedOut), Load::default()),
+            *finished = result.is_ok();
         }
+        result.unwrap_or_else(|reason| (Outcome::Unknown(reason), Load::default()))
     }
 }
 
@@ -455,7 +488,10 @@
         // A call whose client disconnects may still run.
         set_sent(true);
         let result = self.run().await;
-        let not_run = matches!(result, Err(Refusal::NoEndpoint | Refusal::NotRun(_)));
+        let not_run = matches!(
+            result,
+            Err(Refusal::NoEndpoint | Refusal::NotRun(_) | Refusal::Closing)
+        );
         set_sent(!not_run);
         result
     }
@@ -479,7 +515,8 @@
                 tried.push(vm);
                 continue;
             };
-            let (outcome, load) = sent.outcome(self.deadline.at + OUTCOME_GRACE).await;
+            let hold_time = self.daemon.costs.borrow().mean(&self.route.name);
+            let (outcome, load) = sent.outcome(self.daemon, self.deadline.at, hold_time).await;
             drop(sent);
             let now = self.daemon.clock.now();
             self.log_attempt(now, &vm, estimate, &outcome, load);
@@ -526,6 +563,13 @@
             if !retry || now >= self.deadline.at {
                 break;
             }
+            // Another gate could not answer before this process exits.
+            if self.daemon.ends_before(self.deadline.at) && self.daemon.must_withdraw(hold_time) {
+                if matches!(last, Refusal::NotRun(_)) {
+                    last = Refusal::Closing;
+                }
+                break;
+            }
             tried.push(vm);
         }
         Err(last)
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -22,7 +22,7 @@
 mod tests;
 
 /// Version of this protocol. A daemon refuses connections with another version.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// Size of the two lengths before the head.
 const PREFIX_BYTES: usize = 8;
@@ -177,7 +177,7 @@
     Rejected,
     /// It is a retry, and the gate's part of the retry budget is spent.
     Budget,
-    /// The caller no longer waits.
+    /// The caller no longer waits, or withdrew it.
     Cancelled,
 }
 
@@ -222,6 +222,11 @@
         /// Number of the call.
         stream: StreamId,
     },
+    /// The caller of a call can wait no longer. The gate gives the call back unless it has started.
+    Withdraw {
+        /// Number of the call.
+        stream: StreamId,
+    },
     /// A response; the body follows.
     Response {
         /// Number of the call.
@@ -361,6 +366,7 @@
     Recorded(Option<Announcement>),
     QuotaAsk(OrganisationKey, WireAsk),
     QuotaGrant(OrganisationKey, WireGrant),
+    Withdraw(StreamId),
     Offer(StreamId, u32),
     Accept(StreamId),
     Part(StreamId),
@@ -664,6 +670,7 @@
                 kind: self.kinds.intern(&call.kind, call.kind.size()),
             },
             Frame::Cancel { stream } => Wire::Cancel(*stream),
+            Frame::Withdraw { stream } => Wire::Withdraw(*stream),
             Frame::Response {
                 stream,
                 response,
@@ -772,6 +779,7 @@
                 Frame::Call { stream, call }
             }
             Wire::Cancel(stream) => Frame::Cancel { stream },
+            Wire::Withdraw(stream) => Frame::Withdraw { stream },
             Wire::Response {
                 stream,
                 status,
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -599,6 +599,27 @@
         Some(id)
     }
 
+    /// Gives back a job whose caller can wait no longer, unless it has been started.
+    pub fn withdraw(&self, daemon: &Rc<Daemon>, id: JobId) {
+        let mut active = self.active.borrow_mut();
+        let Some(Stage::Waiting(waiting)) = active.get(&id).map(|found| &found.stage) else {
+            return;
+        };
+        let job = self.queue.borrow_mut().cancel(*waiting);
+        active.remove(&id);
+        drop(active);
+        self.backlog.borrow_mut().record_end(id);
+        if let Some((_, job)) = job {
+            if job.call.history.retry {
+                self.budget.borrow_mut().give_back();
+            }
+            job.sender.send(
+                Outcome::NotRun(NotRun::Cancelled),
+                self.load(daemon.clock.now()),
+            );
+        }
+    }
+
     /// Cancels a job whose caller no longer waits. A running call that is not idempotent keeps
     /// running.
     pub fn cancel(&self, daemon: &Rc<Daemon>, id: JobId) {
@@ -607,20 +628,9 @@
             return;
         };
         match &found.stage {
-            Stage::Waiting(waiting) => {
-                let job = self.queue.borrow_mut().cancel(*waiting);
-                active.remove(&id);
+            Stage::Waiting(_) => {
                 drop(active);
-                self.backlog.borrow_mut().record_end(id);
-                if let Some((_, job)) = job {
-                    if job.call.history.retry {
-                        self.budget.borrow_mut().give_back();
-                    }
-                    job.sender.send(
-                        Outcome::NotRun(NotRun::Cancelled),
-                        self.load(daemon.clock.now()),
-                    );
-                }
+                self.withdraw(daemon, id);
             }
             Stage::Running(handle) if found.idempotent => {
                 handle.abort();
@@ -971,7 +981,10 @@
                 self.queued.notified().await;
             }
             tokio::time::sleep(EXPIRY_INTERVAL).await;
-            let (jobs, reason) = if self.drain_elapsed(daemon, DRAIN_ADMIT_FRACTION) {
+            let hold_time = self.queue.borrow().mean_hold_time();
+            let leaves =
+                self.drain_elapsed(daemon, DRAIN_ADMIT_FRACTION) || daemon.must_withdraw(hold_time);
+            let (jobs, reason) = if leaves {
                 (self.queue.borrow_mut().clear(), NotRun::Leaving)
             } else {
                 let now = daemon.clock.now();
--- a/crates/sidecar/src/inbound.rs
+++ b/crates/sidecar/src/inbound.rs
@@ -177,6 +177,12 @@
                     self.daemon.gate.cancel(&self.daemon, id);
                 }
             }
+            Frame::Withdraw { stream } => {
+                let id = self.jobs.borrow().get(&stream).copied();
+                if let Some(id) = id {
+                    self.daemon.gate.withdraw(&self.daemon, id);
+                }
+            }
             Frame::Ping => {
                 self.outbox.push(&Frame::Pong, &[]);
             }
--- a/crates/sidecar/src/outbox.rs
+++ b/crates/sidecar/src/outbox.rs
@@ -63,6 +63,12 @@
 pub struct EndPosition(Rc<Cell<u64>>);
 
 impl EndPosition {
+    /// Whether the body has been sent.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.0.get() != u64::MAX
+    }
+
     /// Returns the position; no position is reached before it is known.
     #[must_use]
     pub fn get(&self) -> u64 {
--- a/crates/sidecar/src/peer.rs
+++ b/crates/sidecar/src/peer.rs
@@ -107,6 +107,32 @@
     pub receiver: oneshot::Receiver<(Outcome, Load)>,
 }
 
+impl SentCall {
+    /// Asks the gate to give the call back unless it has started there. Its outcome says which.
+    pub fn withdraw(&self) {
+        let mut pending = self.link.pending.borrow_mut();
+        let outbox = &self.link.outbox;
+        let stream = self.stream;
+        let call = pending.get(&stream);
+        let is_unsent = call.is_some_and(|call| match &call.end {
+            End::Known(_) => false,
+            End::AfterBody(end) => !end.is_known(),
+        });
+        if is_unsent {
+            // The gate knows of an offered body only; the call would follow it.
+            outbox.withdraw(stream);
+            outbox.push(&Frame::Cancel { stream }, &[]);
+            if let Some(call) = pending.remove(&stream) {
+                let outcome = Outcome::NotRun(NotRun::Cancelled);
+                // Sending cannot fail while this call holds the receiver.
+                drop(call.sender.send((outcome, Load::default())));
+            }
+        } else if call.is_some() {
+            outbox.push(&Frame::Withdraw { stream }, &[]);
+        }
+    }
+}
+
 impl Drop for SentCall {
     fn drop(&mut self) {
         self.peer.stats.borrow_mut().call_ended();
@@ -322,6 +348,7 @@
             | Frame::QuotaAsk { .. }
             | Frame::Call { .. }
             | Frame::Cancel { .. }
+            | Frame::Withdraw { .. }
             | Frame::Ping
             | Frame::AskState
             | Frame::Record { .. }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -20,6 +20,9 @@
 use crate::settings::Settings;
 use crate::{client, control, discovery, inbound, logging};
 
+#[cfg(test)]
+mod tests;
+
 /// Timeout of a call to the store: far above the milliseconds that it usually takes, and short
 /// enough for several attempts within the operators' bounds.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -31,9 +34,15 @@
 /// clients can learn that the daemon is no longer ready.
 const UNREADY_GRACE: Duration = Duration::from_millis(3_200);
 
+/// Time before the exit in which the failures of calls that still run are written.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time between checks for open calls during the shutdown.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between checks for unwritten responses before the exit.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -119,6 +128,10 @@
 }
 
 /// Shuts down: waits until no call is open or the grace time ends.
+///
+/// Each request that was read gets a response before the process exits. Calls that wait for a slot
+/// are withdrawn while there is time to refuse them as not run; those that run at an endpoint have
+/// until the end, and are then given up without a promise.
 async fn stop(daemon: &Rc<Daemon>) {
     let start = daemon.clock.now();
     info!(event = "stopping", calls = daemon.open_calls(); "");
@@ -133,8 +146,16 @@
             break;
         }
     }
+    let open = daemon.open_calls();
     daemon.close();
-    info!(event = "stopped", calls = daemon.open_calls(); "");
+    let answered = async {
+        while daemon.open_requests() > 0 {
+            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    };
+    // Clients that do not read would hold up the exit.
+    drop(tokio::time::timeout(CLOSE_TIMEOUT, answered).await);
+    info!(event = "stopped", calls = open, unanswered = daemon.open_requests(); "");
     // The log writer collects a batch for this long before it writes it.
     tokio::time::sleep(logging::BATCH_INTERVAL).await;
 }
