Test a planned stop of the real program under steady requests

The test sends bookings of 5 ms to 7 s over new and kept connections until the process is gone. It checks that a request whose connection ends has not run and was not held longer than the operators' slack, that what was refused as not run has not run, and that none sent later than 3 s after SIGTERM is given up.

The set-up of the VMs moves from slow_readers.rs to a module that both use.

--- a/crates/sapphiredoor/tests/slow_readers.rs
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -14,19 +14,17 @@
 
 use adapter::standin::{self, ClientRequest};
 use bytes::BytesMut;
-use policy::fleet::{Announcement, State};
 use policy::routing::{RetrySafety, Route, WeightedService};
 use rstest::rstest;
 use soak::client::{HOST, SHOP, STOCK};
 use soak::net::{self, TaskGroup};
-use soak::run::network;
-use soak::store::Store;
-use soak::vm::{EndpointAddresses, RunContext, Vm};
+use soak::vm::Vm;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::LocalSet;
 use transport::http1::{Decoder, Message, MessageKind};
 
+mod support;
+
 /// One crowd at a time, so that the machine's memory suffices.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -74,27 +72,7 @@
 
 impl Site {
     async fn start(tasks: &TaskGroup, directory: PathBuf) -> Self {
-        let store = Rc::new(Store::default());
-        tasks.spawn(Rc::clone(&store).run_expiry());
-        store.write_configuration(configuration());
-        let context = RunContext {
-            program: PathBuf::from(env!("CARGO_BIN_EXE_sapphiredoor")),
-            directory,
-            store,
-            oracle: Rc::default(),
-            tasks: tasks.clone(),
-            network: network(),
-            vms: 2,
-            seed: 0,
-        };
-        let mut vms = Vec::new();
-        for index in 0..context.vms {
-            let vm = Vm::new(&context, index, 0).expect("the addresses are free");
-            vm.write_settings(0).expect("the settings are written");
-            vm.start().expect("the daemon starts");
-            start_endpoint(tasks, &vm);
-            vms.push(vm);
-        }
+        let vms = support::start_vms(tasks, directory, configuration(), 1_000, respond).await;
         let site = Self { vms };
         for prefix in [NEAR, FAR] {
             site.expect_ordinary(prefix).await;
@@ -177,36 +155,6 @@
         .into_bytes()
 }
 
-fn start_endpoint(tasks: &TaskGroup, vm: &Vm) {
-    let addresses = vm.endpoint_addresses();
-    let listener = net::bind(addresses.listen).expect("the address is free");
-    let group = tasks.clone();
-    tasks.spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            group.spawn(respond(stream));
-        }
-    });
-    tasks.spawn(announce(addresses, vm.service(), vm.index));
-}
-
-async fn announce(addresses: EndpointAddresses, service: &'static str, index: usize) {
-    for sequence in 1.. {
-        let heartbeat = standin::encode_heartbeat(&Announcement {
-            instance: format!("i-{index}").into(),
-            service: service.into(),
-            data_centre: "local".into(),
-            address: addresses.announced,
-            slots: 1_000,
-            state: State::Ready,
-            cold: Duration::ZERO,
-            started_ms: 1,
-            sequence,
-        });
-        net::exchange(addresses.control, &heartbeat, Duration::from_secs(1)).await;
-        tokio::time::sleep(Duration::from_millis(500)).await;
-    }
-}
-
 fn decoder(side: MessageKind) -> Decoder {
     Decoder::new(side, 64 << 10, MAX_BODY_BYTES)
 }
@@ -278,23 +226,13 @@
     let _alone = ONE_AT_A_TIME
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    let process = std::process::id();
-    let directory = std::env::temp_dir().join(format!("slow-readers-{process}-{name}"));
-    std::fs::create_dir_all(&directory).expect("the directory is created");
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("the runtime starts");
-    let tasks = TaskGroup::default();
-    LocalSet::new().block_on(&runtime, async {
-        let site = Site::start(&tasks, directory.clone()).await;
-        test(&site, &tasks).await;
+    support::run(name, async |tasks, directory| {
+        let site = Site::start(tasks, directory).await;
+        test(&site, tasks).await;
         for vm in &site.vms {
             vm.kill().await;
         }
     });
-    tasks.abort();
-    std::fs::remove_dir_all(&directory).expect("the directory is removed");
 }
 
 /// What a client of a crowd does.
