Own no bucket of a quota before the fleet is known

Cause: the owner of a bucket was determined from a fleet table that held only the daemon itself, so each daemon that started was the owner of all.

The fix works because the entry of its own VM tells a starting daemon whether the leases have lapsed. If it is missing, the daemon owns nothing until the entries of live VMs have had time to return; asking others is safe meanwhile, as only an owner grants.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -182,6 +182,8 @@
     /// come back with an older copy of the store.
     departed: BTreeMap<VmId, Announcement>,
     services: HashMap<ServiceName, Vec<VmId>>,
+    /// From when on the table counts as complete.
+    complete_at: Option<Instant>,
 }
 
 impl Fleet {
@@ -263,6 +265,20 @@
         }
     }
 
+    /// Notes that the table has been filled and is complete from a time on: at once if nothing can be
+    /// missing, else when the entries of live VMs have had time to return.
+    pub fn set_complete_at(&mut self, at: Instant) {
+        let earliest = self.complete_at.map_or(at, |known| known.min(at));
+        self.complete_at = Some(earliest);
+    }
+
+    /// Returns the time until the table is complete, or `None` if it has not been filled. A VM that
+    /// is missing from the table before that may be alive.
+    #[must_use]
+    pub fn incomplete_for(&self, now: Instant) -> Option<Duration> {
+        self.complete_at.map(|at| at.saturating_duration_since(now))
+    }
+
     /// Marks every entry that a full listing of the store at a position lacks as missing.
     pub fn apply_listing(&mut self, now: Instant, vms: &[VmId], position: Position) {
         let vms: BTreeSet<&VmId> = vms.iter().collect();
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 use policy::clock::Clock;
 use policy::cost::RouteCosts;
-use policy::fleet::{Announcement, Fleet, InstanceId, State, VmEntry};
+use policy::fleet::{Announcement, Fleet, InstanceId, MISSING_ENTRY_GRACE, State, VmEntry};
 use policy::id::{DataCentreName, Era, Revision, ServiceName, VmId};
 use policy::position::Position;
 use policy::routing::{Configuration, WeightedSplitter};
@@ -235,6 +235,8 @@
         for (entry, position) in entries {
             fleet.apply_write(entry.clone(), *position);
         }
+        // The other daemon may have just started too.
+        fleet.set_complete_at(self.clock.now() + MISSING_ENTRY_GRACE);
         drop(fleet);
         let own = entries.iter().find(|(entry, _)| entry.vm == self.vm);
         if let Some((entry, _)) = own {
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -12,7 +12,7 @@
 use adapter::{CONFIGURATION_KEY, CONFIGURATION_PREFIX};
 use bytes::Bytes;
 use log::{info, warn};
-use policy::fleet::{Announcement, InstanceId, State, VmEntry};
+use policy::fleet::{Announcement, InstanceId, MISSING_ENTRY_GRACE, State, VmEntry};
 use policy::id::{Era, Revision, ServiceName, VmId};
 use policy::pacing::{self, RetryDelay};
 use policy::position::Position;
@@ -340,7 +340,16 @@
         vms.push(VmId::clone(&daemon.vm));
         let position = Position::new(listing.era, listing.revision);
         let now = daemon.clock.now();
-        daemon.fleet.borrow_mut().apply_listing(now, &vms, position);
+        // Where this VM's entry has lapsed, or is yet to be written, so may be those of others.
+        let complete_at = if own_lease.is_some() {
+            now
+        } else {
+            now + MISSING_ENTRY_GRACE
+        };
+        let mut fleet = daemon.fleet.borrow_mut();
+        fleet.apply_listing(now, &vms, position);
+        fleet.set_complete_at(complete_at);
+        drop(fleet);
         self.check_lease(listing.era, own_lease);
         if own_lease.is_none() {
             self.rewrite_own_entry(Some(Position::new(listing.era, 0)));
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use log::info;
-use policy::fleet::State;
+use policy::fleet::{MISSING_ENTRY_GRACE, State};
 use policy::id::{OrganisationName, VmId};
 use policy::organisation::{Organisation, Quota};
 use policy::quota::{
@@ -51,6 +51,9 @@
 #[derive(Debug, Default)]
 struct View {
     version: Option<u64>,
+    /// Whether all VMs are known. Until then this daemon owns no bucket and asks others only: one that
+    /// knows only itself would own all buckets, like any other that has just started.
+    is_complete: bool,
     vms: Vec<VmId>,
     limits: HashMap<OrganisationKey, Limit>,
 }
@@ -157,6 +160,7 @@
                 });
             }
             Take::Refused(retry) => {
+                let retry = retry.max(daemon.quotas.incomplete_for(daemon));
                 return Err(daemon.quotas.refuse(daemon, key, organisation, retry));
             }
             Take::Wait => {}
@@ -232,15 +236,25 @@
         }
     }
 
+    /// Returns the time until all VMs are known.
+    fn incomplete_for(&self, daemon: &Daemon) -> Duration {
+        let fleet = daemon.fleet.borrow();
+        let time = fleet.incomplete_for(daemon.clock.now());
+        time.unwrap_or(MISSING_ENTRY_GRACE)
+    }
+
     /// Determines the owners again if other VMs are ready or another configuration is in force.
     fn follow_fleet(&self, daemon: &Daemon) {
         let version = daemon.configuration().map(|active| active.version);
+        let is_complete = self.incomplete_for(daemon).is_zero();
         let changed = {
             let view = self.view.borrow();
             let fleet = daemon.fleet.borrow();
             let ready = fleet.entries().map(|(entry, _)| entry);
             let ready = ready.filter(|entry| entry.endpoint.state == State::Ready);
-            view.version != version || !ready.map(|entry| &entry.vm).eq(view.vms.iter())
+            view.version != version
+                || view.is_complete != is_complete
+                || !ready.map(|entry| &entry.vm).eq(view.vms.iter())
         };
         if changed {
             self.follow(daemon);
@@ -257,13 +271,16 @@
             let ready = ready.filter(|entry| entry.endpoint.state == State::Ready);
             ready.map(|entry| VmId::clone(&entry.vm)).collect()
         };
+        let is_complete = self.incomplete_for(daemon).is_zero();
+        let may_own = |vm: &&VmId| is_complete || **vm != daemon.vm;
+        let candidates: Vec<VmId> = vms.iter().filter(may_own).cloned().collect();
         let mut limits = HashMap::new();
         for organisation in configuration.organisations() {
             let key = quota::key(&organisation.name);
             if let Some(quota) = organisation.quota {
                 limits.entry(key).or_insert_with(|| Limit {
                     name: OrganisationName::clone(&organisation.name),
-                    owner: quota::owner(key, &vms).cloned(),
+                    owner: quota::owner(key, &candidates).cloned(),
                     quota,
                 });
             }
@@ -286,6 +303,7 @@
         holder.retain(|key| limits.contains_key(&key));
         *self.view.borrow_mut() = View {
             version: Some(configuration.version),
+            is_complete,
             vms,
             limits,
         };
