Let responses of unknown size grow one at a time

Cause: all such bodies together could take the whole budget, and memory that was freed and memory that was newly used added up to more than the VM has.

The test has three calls, to be quicker.

The fix works because beyond 256 KiB such a body needs the only permit of its gate, so together they take little more than the largest allowed body, which is still served whole.

--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -3,6 +3,10 @@
 //! A response is used only when it is complete and belongs to its request. A connection is reused
 //! only when nothing unexpected came over it; a stray response that arrives late is recognised by
 //! its id.
+//!
+//! A faulty endpoint may send bodies without a length and without an end on all its connections.
+//! Beyond a small size they grow one at a time, so that together they take little more than the
+//! largest allowed body; the others stay unread meanwhile.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -15,6 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use transport::http1::{Decoder, Framing, Message, MessageKind};
 
@@ -44,6 +49,9 @@
 /// Bytes by which the memory for a response of unknown size grows.
 const GROWTH_BYTES: usize = 256 << 10;
 
+/// Size up to which responses of unknown size grow beside each other.
+const MAX_FREE_GROWTH_BYTES: usize = GROWTH_BYTES;
+
 /// Informational responses (1xx) that may precede a response.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 
@@ -103,6 +111,8 @@
     idle: RefCell<Vec<Idle>>,
     /// Budget of the responses.
     budget: Arc<Budget>,
+    /// Permit for a response of unknown size to grow beyond [`MAX_FREE_GROWTH_BYTES`].
+    growth: Semaphore,
 }
 
 impl Pool {
@@ -113,6 +123,7 @@
             address,
             idle: RefCell::new(Vec::new()),
             budget,
+            growth: Semaphore::new(1),
         }
     }
 
@@ -138,7 +149,11 @@
             }
         };
         let grant = self.budget.grant(Kind::Response);
-        let received = transfer(&mut connection.stream, &head, outgoing, grant).await;
+        let room = Room {
+            grant,
+            growth: &self.growth,
+        };
+        let received = transfer(&mut connection.stream, &head, outgoing, room).await;
         match received {
             Err(reason) => Exchange::Failed(reason),
             // Only an id tells a response from a late copy of an earlier one.
@@ -234,6 +249,12 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
+/// Memory for a response.
+struct Room<'a> {
+    grant: Grant,
+    growth: &'a Semaphore,
+}
+
 struct Received {
     message: Message,
     /// Responses to other requests that came before it.
@@ -247,14 +268,14 @@
     stream: &mut TcpStream,
     head: &[u8],
     outgoing: &Outgoing<'_>,
-    grant: Grant,
+    room: Room<'_>,
 ) -> Result<Received, Unknown> {
     let (mut reader, mut writer) = stream.split();
     let mut sent = false;
     // The head and the body are written by one system call, without a copy of the body.
     let mut request = Buf::chain(head, Bytes::clone(outgoing.body));
     let sending = writer.write_all_buf(&mut request);
-    let receiving = receive(&mut reader, outgoing.id, grant);
+    let receiving = receive(&mut reader, outgoing.id, room);
     tokio::pin!(sending, receiving);
     loop {
         tokio::select! {
@@ -275,11 +296,9 @@
 }
 
 /// Reads the response with an id; skips a few informational and stray responses.
-async fn receive(
-    reader: &mut ReadHalf<'_>,
-    id: &str,
-    mut grant: Grant,
-) -> Result<Received, Unknown> {
+async fn receive(reader: &mut ReadHalf<'_>, id: &str, room: Room<'_>) -> Result<Received, Unknown> {
+    let Room { mut grant, growth } = room;
+    let mut permit = None;
     let mut decoder = Decoder::new(MessageKind::Response, MAX_HEAD_BYTES, MAX_BODY_BYTES);
     let mut buffer = BytesMut::with_capacity(8 << 10);
     let mut stray = 0;
@@ -312,7 +331,10 @@
         if needed > grant.largest() {
             return Err(Unknown::Damaged);
         }
-        // Without room the response stays unread, until the deadline of its call.
+        // Without room, or a permit, the response stays unread, until the deadline of its call.
+        if permit.is_none() && grows_large(&decoder, buffer.len()) {
+            permit = growth.acquire().await.ok();
+        }
         grant.resize_when_free(needed).await;
         let read = match decoder.unread_body().filter(|_| buffer.is_empty()) {
             Some(mut body) => reader.read_buf(&mut body).await,
@@ -339,6 +361,13 @@
     }
 }
 
+/// Whether a response of unknown size has grown so large that it needs a permit to grow further.
+fn grows_large(decoder: &Decoder, buffered: usize) -> bool {
+    let framing = decoder.pending().map(|head| head.framing);
+    matches!(framing, Some(Framing::Chunked | Framing::UntilClose))
+        && decoder.held_bytes() + buffered > MAX_FREE_GROWTH_BYTES
+}
+
 /// Returns the memory that the next bytes of a response need: for the whole body if its size is
 /// stated, else for some more than has arrived.
 fn needed(decoder: &Decoder, buffered: usize) -> usize {
--- a/crates/sidecar/src/endpoint/tests.rs
+++ b/crates/sidecar/src/endpoint/tests.rs
@@ -13,8 +13,8 @@
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::LocalSet;
-use tokio::time::timeout;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
 
 use super::{Exchange, Outgoing, Pool};
 use crate::frame::Unknown;
@@ -128,6 +128,93 @@
         .await;
 }
 
+/// Guards against an endpoint whose bodies without a length and without an end fill the memory of the
+/// VM, which ends the requests of all clients there (review/6).
+#[rstest]
+#[case::until_close(&head(""), "0123456789abcdef")]
+#[case::chunks(&head("Transfer-Encoding: chunked\r\n"), "10\r\n0123456789abcdef\r\n")]
+#[tokio::test]
+async fn bodies_without_end_grow_one_at_a_time(#[case] start: &str, #[case] repeated: &str) {
+    const CALLS: usize = 3;
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Rc::new(Pool::new(address, Budget::new(224 << 20)));
+            let part = repeated.repeat((64 << 10) / repeated.len());
+            let start = start.to_owned();
+            spawn_local(async move {
+                loop {
+                    let mut stream = accept(&listener).await;
+                    let (start, part) = (start.clone(), part.clone());
+                    spawn_local(async move {
+                        let _ = stream.write_all(start.as_bytes()).await;
+                        while stream.write_all(part.as_bytes()).await.is_ok() {}
+                    });
+                }
+            });
+            let calls = (0..CALLS).map(|_| {
+                let pool = Rc::clone(&pool);
+                spawn_local(async move { exchange(&pool, "a").await })
+            });
+            let calls: Vec<_> = calls.collect();
+            let mut most = 0;
+            while !calls.iter().all(JoinHandle::is_finished) {
+                most = most.max(pool.budget.held());
+                assert!(most <= MAX_BODY_BYTES + CALLS * (1 << 20), "{most}");
+                sleep(Duration::from_millis(2)).await;
+            }
+            assert!(most > MAX_BODY_BYTES / 2, "{most}");
+            for call in calls {
+                let outcome = call.await.unwrap();
+                assert!(
+                    matches!(outcome, Exchange::Failed(Unknown::Damaged)),
+                    "{outcome:?}"
+                );
+            }
+            assert_eq!(pool.budget.held(), 0);
+        })
+        .await;
+}
+
+/// Guards against a bound on endless bodies that also ends a whole one of the largest allowed size.
+#[rstest]
+#[tokio::test]
+async fn a_whole_body_of_the_largest_size_passes_beside_an_endless_one(
+    #[values(false, true)] is_second: bool,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listener().await;
+            let pool = Rc::new(Pool::new(address, Budget::new(224 << 20)));
+            spawn_local(async move {
+                for call in 0..2 {
+                    let mut stream = accept(&listener).await;
+                    spawn_local(async move {
+                        let _ = stream.write_all(head("").as_bytes()).await;
+                        let part = vec![b'x'; 64 << 10];
+                        let is_whole = call == usize::from(is_second);
+                        let mut rest = if is_whole { MAX_BODY_BYTES } else { usize::MAX };
+                        while rest > 0 && stream.write_all(&part).await.is_ok() {
+                            rest -= part.len();
+                        }
+                    });
+                }
+            });
+            let mut calls = Vec::new();
+            for _ in 0..2 {
+                let owner = Rc::clone(&pool);
+                calls.push(spawn_local(async move { exchange(&owner, "a").await }));
+                sleep(Duration::from_millis(20)).await;
+            }
+            let whole = calls.remove(usize::from(is_second)).await.unwrap();
+            let Exchange::Answered(_, body) = whole else {
+                panic!("{whole:?}")
+            };
+            assert_eq!(body.len(), MAX_BODY_BYTES);
+        })
+        .await;
+}
+
 /// Guards against responses that stay incomplete and exceed the limit together while others wait.
 #[tokio::test]
 async fn incomplete_responses_together_stay_under_one_limit() {
