Hold no rate back for shares that nobody has

Cause: an owner that did not know what shares were in use stated that all of the rate was. The entries carried that to the next owner, which set the whole rate aside. Daemons that took themselves for owners at their start made that the common case.

Evidence: the refusals of the five largest organisations rise at 3 s of the owners' age and end at 9 s.

The fix works because an owner states only what it knows, and an entry keeps what an earlier owner knew. After a start of the whole fleet an owner grants for the fraction of it that asks, which two owners cannot both exceed.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -126,8 +126,8 @@
     pub retry: Duration,
     /// Share of the rate that is set aside for the entry.
     pub share: f64,
-    /// Sum of the shares of all entries.
-    pub total: f64,
+    /// Sum of the shares of all entries; `None` while a new owner does not know it.
+    pub total: Option<f64>,
     /// Whether the sender owns the bucket.
     pub is_owner: bool,
 }
--- a/crates/policy/src/quota/holder.rs
+++ b/crates/policy/src/quota/holder.rs
@@ -299,7 +299,7 @@
         holding.heard = now;
         holding.told_at = Some(now);
         holding.share = grant.share;
-        holding.total = Some(grant.total);
+        holding.total = grant.total.or(holding.total);
         holding.own = (0.0, now);
         let expires = asked_at + TOKEN_LIFETIME;
         if grant.granted > 0 && expires > now {
--- a/crates/policy/src/quota/owner.rs
+++ b/crates/policy/src/quota/owner.rs
@@ -38,6 +38,8 @@
     stated: f64,
     /// Whether its share is set aside, because it may spend it without asking.
     is_silent: bool,
+    /// Whether its process had just started when it asked first.
+    is_fresh: bool,
     granted: Recent<6>,
 }
 
@@ -69,6 +71,8 @@
     earlier: Option<f64>,
     /// Whether there seems to be no earlier owner.
     all_started: bool,
+    /// Fraction of the fleet's entries that started when the owner did and ask it.
+    asking: f64,
     /// Until when tokens are promised to refused entries.
     promised: Duration,
 }
@@ -88,6 +92,7 @@
             claimed: 0.0,
             earlier: None,
             all_started: false,
+            asking: 0.0,
             promised: now,
         }
     }
@@ -120,21 +125,26 @@
         (self.earlier.unwrap_or(1.0) - self.total).max(0.0)
     }
 
-    /// Returns the sum of the shares that entries may spend, as far as this owner knows.
-    fn stated_total(&self, now: Duration) -> f64 {
-        if now.saturating_sub(self.since) < START_TIME {
-            self.total + self.unclaimed()
-        } else {
-            self.total
+    /// Returns the sum of the shares that entries may spend, if this owner knows it. A guess would make
+    /// the next owner hold back as much.
+    fn stated_total(&self, now: Duration) -> Option<f64> {
+        if now.saturating_sub(self.since) >= START_TIME {
+            return Some(self.total);
         }
+        self.earlier.map(|_| self.total + self.unclaimed())
     }
 
     fn rate(&self, now: Duration, bound: QuotaBound) -> f64 {
         let rate = self.quota.rate;
         let age = now.saturating_sub(self.since);
         let filled = if age < OVERLAP_TIME {
-            // Another daemon may take itself for the owner too, and then grants as much.
-            let least = if self.all_started { 0.5 } else { 0.0 };
+            // Another daemon may take itself for the owner too, and then grants as much. An entry asks
+            // one of them only, so each may grant for the entries that ask it.
+            let least = if self.all_started {
+                self.asking.max(0.5)
+            } else {
+                0.0
+            };
             rate * self.claimed.max(least) + self.start_rate(bound)
         } else if age < START_TIME {
             rate * (1.0 - self.unclaimed() - self.reserved) + self.start_rate(bound)
@@ -152,11 +162,15 @@
         self.filled_at = now;
     }
 
-    /// Determines which entries are silent.
-    fn review(&mut self, now: Duration) {
+    /// Determines which entries are silent, and which fraction of the entries of a fleet asks.
+    fn review(&mut self, now: Duration, vms: usize) {
         self.entries
             .retain(|_, entry| now.saturating_sub(entry.heard) < RESERVE_TIME);
         (self.total, self.reserved, self.claimed) = (0.0, 0.0, 0.0);
+        let is_asking =
+            |entry: &&Entry| entry.is_fresh && now.saturating_sub(entry.heard) < OVERLAP_TIME;
+        let asking = self.entries.values().filter(is_asking).count();
+        self.asking = asking as f64 / vms.max(self.entries.len()).max(1) as f64;
         for entry in self.entries.values_mut() {
             entry.is_silent |= now.saturating_sub(entry.heard) >= ENTRY_SILENCE;
             self.total += entry.share;
@@ -215,6 +229,7 @@
                 share: stated,
                 stated: 0.0,
                 is_silent: false,
+                is_fresh,
                 granted: Recent::new(SHARE_WINDOW),
             }
         });
@@ -325,7 +340,7 @@
                 *account = Account::new(now, account.quota);
                 continue;
             }
-            account.review(now);
+            account.review(now, self.vms);
             account.fill(now, self.bound);
         }
     }
@@ -341,7 +356,7 @@
                 granted: 0,
                 retry: MAX_RETRY,
                 share: 0.0,
-                total: 0.0,
+                total: None,
                 is_owner: false,
             };
         };
--- a/crates/sidecar/src/frame.rs
+++ b/crates/sidecar/src/frame.rs
@@ -421,7 +421,7 @@
     granted: u32,
     retry_ms: u32,
     share: u16,
-    total: u16,
+    total: Option<u16>,
     is_owner: bool,
 }
 
@@ -432,7 +432,7 @@
             granted: grant.granted,
             retry_ms: grant.retry.as_millis() as u32,
             share: (grant.share * QUOTA_SCALE) as u16,
-            total: (grant.total * QUOTA_SCALE).ceil() as u16,
+            total: grant.total.map(|total| (total * QUOTA_SCALE).ceil() as u16),
             is_owner: grant.is_owner,
         }
     }
@@ -445,7 +445,7 @@
             granted: grant.granted,
             retry: Duration::from_millis(grant.retry_ms.into()),
             share: f64::from(grant.share) / QUOTA_SCALE,
-            total: f64::from(grant.total) / QUOTA_SCALE,
+            total: grant.total.map(|total| f64::from(total) / QUOTA_SCALE),
             is_owner: grant.is_owner,
         }
     }
--- a/crates/sidecar/src/frame/tests.rs
+++ b/crates/sidecar/src/frame/tests.rs
@@ -120,7 +120,7 @@
             granted: 0,
             retry: Duration::from_millis(300),
             share: 0.25,
-            total: 0.75,
+            total: Some(0.75),
             is_owner: true,
         },
     };
