--- a/crates/sapphiredoor/tests/slow_readers.rs
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -72,7 +72,7 @@
 
 impl Site {
     async fn start(tasks: &TaskGroup, directory: PathBuf) -> Self {
-        let vms = support::start_vms(tasks, directory, configuration(), 1_000, respond).await;
+        let vms = support::start_vms(tasks, directory, configuration(), 1_000, respond);
         let site = Self { vms };
         for prefix in [NEAR, FAR] {
             site.expect_ordinary(prefix).await;
--- a/crates/sapphiredoor/tests/stop.rs
+++ b/crates/sapphiredoor/tests/stop.rs
@@ -190,7 +190,7 @@
         let records = Rc::<Records>::default();
         let owner = Rc::clone(&records);
         let respond = move |stream| respond(stream, Rc::clone(&owner));
-        let vms = support::start_vms(tasks, directory, configuration(), slots, respond).await;
+        let vms = support::start_vms(tasks, directory, configuration(), slots, respond);
         let address = vms[0].entry().address;
         for service in ["near", "far"] {
             let served = async {
--- a/crates/sapphiredoor/tests/support/mod.rs
+++ b/crates/sapphiredoor/tests/support/mod.rs
@@ -17,7 +17,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Starts two VMs. Each connection to the endpoint of one is served by `respond`.
-pub async fn start_vms<F: Future<Output = ()> + 'static>(
+pub fn start_vms<F: Future<Output = ()> + 'static>(
     tasks: &TaskGroup,
     directory: PathBuf,
     configuration: Vec<u8>,
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -457,7 +457,8 @@
     pub fn withdrawal_time(&self, hold_time: Duration) -> Option<Instant> {
         let longest = self.settings.borrow().bounds.grace().mul_f64(EXIT_FRACTION) / 2;
         let spare = (hold_time + WITHDRAW_MARGIN).min(longest);
-        self.shutdown_deadline().map(|end| end - spare)
+        let end = self.shutdown_deadline()?;
+        Some(end.checked_sub(spare).unwrap_or(end))
     }
 
     /// Whether calls that hold a slot for this time must no longer wait for one.
--- a/crates/sidecar/src/discovery.rs
+++ b/crates/sidecar/src/discovery.rs
@@ -53,7 +53,7 @@
 /// Lifetime of the lease of an entry whose endpoint has left. The entry must outlast the daemon that
 /// wrote it: an outage of the store in which leases expire, a late restart, and heartbeats that the
 /// endpoint sent before and that arrive seconds later.
-const DEPARTED_LEASE_LIFETIME: Duration = Duration::from_secs(60);
+const DEPARTED_LEASE_LIFETIME: Duration = Duration::from_mins(1);
 
 /// Time between renewals of the lease: three may be lost.
 const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
@@ -346,10 +346,8 @@
         } else {
             now + MISSING_ENTRY_GRACE
         };
-        let mut fleet = daemon.fleet.borrow_mut();
-        fleet.apply_listing(now, &vms, position);
-        fleet.set_complete_at(complete_at);
-        drop(fleet);
+        daemon.fleet.borrow_mut().apply_listing(now, &vms, position);
+        daemon.fleet.borrow_mut().set_complete_at(complete_at);
         self.check_lease(listing.era, own_lease);
         if own_lease.is_none() {
             self.rewrite_own_entry(Some(Position::new(listing.era, 0)));
--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -160,7 +160,7 @@
                 });
             }
             Take::Refused(retry) => {
-                let retry = retry.max(daemon.quotas.incomplete_for(daemon));
+                let retry = retry.max(incomplete_for(daemon));
                 return Err(daemon.quotas.refuse(daemon, key, organisation, retry));
             }
             Take::Wait => {}
@@ -174,6 +174,13 @@
     }
 }
 
+/// Returns the time until all VMs are known.
+fn incomplete_for(daemon: &Daemon) -> Duration {
+    let fleet = daemon.fleet.borrow();
+    let time = fleet.incomplete_for(daemon.clock.now());
+    time.unwrap_or(MISSING_ENTRY_GRACE)
+}
+
 impl Quotas {
     /// Creates the state of a process that starts now.
     #[must_use]
@@ -236,17 +243,10 @@
         }
     }
 
-    /// Returns the time until all VMs are known.
-    fn incomplete_for(&self, daemon: &Daemon) -> Duration {
-        let fleet = daemon.fleet.borrow();
-        let time = fleet.incomplete_for(daemon.clock.now());
-        time.unwrap_or(MISSING_ENTRY_GRACE)
-    }
-
     /// Determines the owners again if other VMs are ready or another configuration is in force.
     fn follow_fleet(&self, daemon: &Daemon) {
         let version = daemon.configuration().map(|active| active.version);
-        let is_complete = self.incomplete_for(daemon).is_zero();
+        let is_complete = incomplete_for(daemon).is_zero();
         let changed = {
             let view = self.view.borrow();
             let fleet = daemon.fleet.borrow();
@@ -271,7 +271,7 @@
             let ready = ready.filter(|entry| entry.endpoint.state == State::Ready);
             ready.map(|entry| VmId::clone(&entry.vm)).collect()
         };
-        let is_complete = self.incomplete_for(daemon).is_zero();
+        let is_complete = incomplete_for(daemon).is_zero();
         let may_own = |vm: &&VmId| is_complete || **vm != daemon.vm;
         let candidates: Vec<VmId> = vms.iter().filter(may_own).cloned().collect();
         let mut limits = HashMap::new();
