--- a/crates/sidecar/src/run/tests.rs
+++ b/crates/sidecar/src/run/tests.rs
@@ -153,27 +153,29 @@
 
 /// Guards against requests whose connections end without an answer when the process exits.
 #[rstest]
-#[case::waiting_at_another_gate(false, None, 502, 503)]
-#[case::waiting_at_its_own_gate(true, None, 502, 503)]
-#[case::both_run_in_time(false, Some(300), 200, 200)]
-#[case::both_run_in_time_at_its_own_gate(true, Some(300), 200, 200)]
-#[case::one_runs_in_time(false, Some(1_200), 200, 503)]
-#[case::one_runs_in_time_at_its_own_gate(true, Some(1_200), 200, 503)]
+#[case::waiting_at_another_gate(false, None, "2b", 502, 503)]
+#[case::waiting_at_its_own_gate(true, None, "2b", 502, 503)]
+#[case::a_call_of_the_endpoint(true, None, "1a.2", 502, 503)]
+#[case::both_run_in_time(false, Some(300), "2b", 200, 200)]
+#[case::both_run_in_time_at_its_own_gate(true, Some(300), "2b", 200, 200)]
+#[case::one_runs_in_time(false, Some(1_200), "2b", 200, 503)]
+#[case::one_runs_in_time_at_its_own_gate(true, Some(1_200), "2b", 200, 503)]
 #[tokio::test]
 async fn each_request_that_was_read_is_answered_before_the_exit(
     #[case] is_local: bool,
     #[case] work_ms: Option<u64>,
+    #[case] id: &str,
     #[case] first: u16,
     #[case] second: u16,
 ) {
     LocalSet::new()
-        .run_until(async move {
+        .run_until(async {
             let runs = Runs::default();
             let endpoint = start_endpoint(work_ms.map(Duration::from_millis), &runs).await;
             let site = Site::start(endpoint, is_local).await;
             let running = site.send("1a");
             sleep(MOMENT).await;
-            let waiting = site.send("2b");
+            let waiting = site.send(id);
             sleep(MOMENT).await;
             let start = Instant::now();
             stop(&site.entry).await;
@@ -181,7 +183,7 @@
             assert_eq!(status(running).await, first);
             assert_eq!(status(waiting).await, second);
             // What was refused as not run has not run.
-            let has_run = runs.borrow().contains(&"2b".to_owned());
+            let has_run = runs.borrow().contains(&id.to_owned());
             assert_eq!(has_run, second == 200);
         })
         .await;
@@ -206,6 +208,29 @@
         .await;
 }
 
+/// Guards against requests that are lost when a daemon stops after its endpoint has ended.
+#[rstest]
+#[tokio::test]
+async fn a_stop_after_the_end_of_the_endpoint_answers_what_waits(
+    #[values(false, true)] is_local: bool,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let site = Site::start(listener.local_addr().unwrap(), is_local).await;
+            let running = site.send("1a");
+            let (stream, _) = listener.accept().await.unwrap();
+            sleep(MOMENT).await;
+            let waiting = site.send("2b");
+            sleep(MOMENT).await;
+            drop((stream, listener));
+            stop(&site.entry).await;
+            assert_eq!(status(running).await, 502);
+            assert_eq!(status(waiting).await, 503);
+        })
+        .await;
+}
+
 /// Guards against a request that ends as unknown although its body has not been sent whole, so that
 /// the other gate knows nothing of it.
 #[tokio::test]
