--- a/crates/policy/src/quota/owner.rs
+++ b/crates/policy/src/quota/owner.rs
@@ -136,8 +136,8 @@
         (self.earlier.unwrap_or(1.0) - self.total).max(0.0)
     }
 
-    /// Returns the sum of the shares that entries may spend, if this owner knows it. A guess would make
-    /// the next owner hold back as much.
+    /// Returns the sum of the shares that entries may spend, if this owner knows it. The next owner
+    /// sets aside what is stated here.
     fn stated_total(&self, now: Duration) -> Option<f64> {
         if now.saturating_sub(self.since) >= START_TIME {
             return Some(self.total);
--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -458,7 +458,7 @@
 }
 
 /// Guards against an owner that holds the rate back for shares that nobody has, because another
-/// daemon took itself for the owner before and stated a guess.
+/// daemon, which knew no other VM, answered as the owner before and stated that all shares were in use.
 #[rstest]
 #[case::middle(30.0)]
 #[case::large(300.0)]
