Keep large bodies in memory maps of their own

Cause: a body above 256 KiB got 64 MiB of address space at once. The allocator keeps freed memory for a second and gave such a body the memory of a large one that had just ended.

A body of the largest size still passes both ways.

--- a/crates/sapphiredoor/tests/slow_readers.rs
+++ b/crates/sapphiredoor/tests/slow_readers.rs
@@ -1,11 +1,12 @@
-//! Crowds of clients that read long responses slowly, or send long bodies slowly, against the real
-//! program.
+//! Crowds of clients that read long responses slowly, or send long bodies slowly, and endpoints that
+//! send bytes without end, against the real program.
 //!
 //! Guards against daemons that run out of memory or descriptors, or stop serving others, because of
-//! clients that the operators do not control (held-answers), and against bodies of the largest
-//! allowed size that are refused. Only what does not depend on the speed of the machine is checked:
+//! clients that the operators do not control (held-answers) or of one faulty endpoint (review/6), and
+//! against bodies of the largest allowed size that are refused. Only what does not depend on the speed of the machine is checked:
 //! processes, peak memory, descriptors, and that requests are answered afterwards.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -40,6 +41,16 @@
 /// Largest body that the configuration allows.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Calls that a faulty endpoint responds to at the same time. Together they would exceed the memory of
+/// the VM with less than 1 MiB each.
+const FAULTY_CALLS: usize = 300;
+
+/// Kept connections over which requests go to a sound endpoint meanwhile.
+const WITNESSES: usize = 8;
+
+/// Time that a sound endpoint needs for the request of a witness, in milliseconds.
+const WITNESS_WORK: &str = "work-300";
+
 /// Time for which a crowd goes on.
 const CROWD_TIME: Duration = Duration::from_secs(6);
 
@@ -167,6 +178,13 @@
     while let Some(message) = net::read_message(&mut stream, &mut decoder, &mut buffer).await {
         let received = standin::decode_request(&message.head);
         let stated = message.head.target().rsplit('/').next();
+        if let Some(endless) = stated.and_then(Endless::parse) {
+            endless.send(&mut stream, &received.id).await;
+            return;
+        }
+        if stated == Some(WITNESS_WORK) {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
         let length: usize = stated.and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut response = standin::encode_signed(200, &received.id, length);
         let mut rest = length;
@@ -189,6 +207,56 @@
     }
 }
 
+/// Response without an end, or with more bytes than it states.
+#[derive(Clone, Copy, Debug)]
+enum Endless {
+    UntilClose,
+    Chunks,
+    Length,
+    Head,
+    Trailer,
+}
+
+impl Endless {
+    const ALL: [Self; 5] = [
+        Self::UntilClose,
+        Self::Chunks,
+        Self::Length,
+        Self::Head,
+        Self::Trailer,
+    ];
+
+    fn parse(text: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|endless| format!("{endless:?}") == text)
+    }
+
+    /// Sends the response until the daemon closes the connection.
+    async fn send(self, stream: &mut TcpStream, id: &str) {
+        let signed = String::from_utf8(standin::encode_signed(200, id, 0)).expect("ASCII");
+        let (head, _) = signed.split_once("Content-Length").expect("a length");
+        let (start, repeated) = match self {
+            Self::UntilClose => ("\r\n", "0123456789abcdef"),
+            Self::Chunks => (
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "10\r\n0123456789abcdef\r\n",
+            ),
+            Self::Length => ("Content-Length: 67108864\r\n\r\n", "0123456789abcdef"),
+            Self::Head => ("", "X-Filler: 0123456789abcdef\r\n"),
+            Self::Trailer => (
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                "X-Filler: 0123456789abcdef\r\n",
+            ),
+        };
+        let part = repeated.repeat((64 << 10) / repeated.len());
+        let mut written = stream.write_all(format!("{head}{start}").as_bytes()).await;
+        while written.is_ok() {
+            written = stream.write_all(part.as_bytes()).await;
+        }
+    }
+}
+
 fn encode(target: &str, body: &[u8]) -> Vec<u8> {
     static COUNT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
     let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -337,3 +405,65 @@
         site.check_processes();
     });
 }
+
+/// Sends requests over a kept connection, as long as it is open, and opens another one when the daemon
+/// has announced its end. Counts the requests whose connection ended without a response.
+async fn witness(address: SocketAddr, target: String, lost: Rc<Cell<usize>>) {
+    loop {
+        let Ok(mut stream) = TcpStream::connect(address).await else {
+            return;
+        };
+        let mut decoder = decoder(MessageKind::Response);
+        let mut buffer = BytesMut::new();
+        loop {
+            if stream.write_all(&encode(&target, &[])).await.is_err() {
+                break;
+            }
+            let response = net::read_message(&mut stream, &mut decoder, &mut buffer).await;
+            let Some(response) = response else {
+                lost.set(lost.get() + 1);
+                break;
+            };
+            if response.head.close {
+                break;
+            }
+        }
+    }
+}
+
+/// Guards against an endpoint that sends without end, alone on its VM, and takes so much memory that
+/// the daemon ends, and with it the requests of others there.
+#[rstest]
+#[case::near_until_close(NEAR, Endless::UntilClose)]
+#[case::near_chunks(NEAR, Endless::Chunks)]
+#[case::near_length(NEAR, Endless::Length)]
+#[case::near_head(NEAR, Endless::Head)]
+#[case::near_trailer(NEAR, Endless::Trailer)]
+#[case::far_until_close(FAR, Endless::UntilClose)]
+#[case::far_chunks(FAR, Endless::Chunks)]
+#[case::far_length(FAR, Endless::Length)]
+fn an_endpoint_that_sends_without_end_is_survived(#[case] prefix: &str, #[case] endless: Endless) {
+    let name = format!("{prefix}{endless:?}").replace('/', "");
+    run_alone(&name, async |site, tasks| {
+        let sound = if prefix == NEAR { FAR } else { NEAR };
+        let lost = Rc::new(Cell::new(0));
+        for _ in 0..WITNESSES {
+            let target = format!("{sound}{WITNESS_WORK}");
+            tasks.spawn(witness(site.address(), target, Rc::clone(&lost)));
+        }
+        for _ in 0..FAULTY_CALLS {
+            let (address, target) = (site.address(), format!("{prefix}{endless:?}"));
+            tasks.spawn(async move {
+                loop {
+                    drop(exchange(address, &target, &[]).await);
+                    tokio::time::sleep(TRICKLE_INTERVAL).await;
+                }
+            });
+        }
+        tokio::time::sleep(CROWD_TIME).await;
+        site.check_processes();
+        assert_eq!(lost.get(), 0, "requests of others ended without a response");
+        site.expect_ordinary(sound).await;
+        site.check_processes();
+    });
+}
--- a/crates/sidecar/src/arrivals.rs
+++ b/crates/sidecar/src/arrivals.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use transport::buffer::BodyBuffer;
 
 use crate::frame::StreamId;
 use crate::memory::{Budget, Grant, Kind, SMALL_BODY_BYTES};
@@ -21,7 +22,7 @@
 #[derive(Debug)]
 struct Arrival {
     size: usize,
-    bytes: BytesMut,
+    bytes: BodyBuffer,
     /// Room for it; `None` while it waits for some.
     grant: Option<Grant>,
     /// When a part arrived last.
@@ -43,7 +44,7 @@
     pub fn offer(&self, stream: StreamId, size: usize) {
         let arrival = Arrival {
             size,
-            bytes: BytesMut::new(),
+            bytes: BodyBuffer::default(),
             grant: None,
             moved_at: Instant::now(),
             expected: None,
--- a/crates/sidecar/src/client.rs
+++ b/crates/sidecar/src/client.rs
@@ -198,7 +198,7 @@
                         Some(false) => {}
                     }
                 }
-                read = read_more(reader, &mut self.decoder, &mut self.buffer), if !full => {
+                read = self.decoder.read_from(reader, &mut self.buffer), if !full => {
                     let Ok(count @ 1..) = read else {
                         return false;
                     };
@@ -494,19 +494,6 @@
     }
 }
 
-/// Reads the next bytes: to the body of the request in progress if its size is stated, so that it is
-/// not copied, else to the buffer.
-async fn read_more(
-    reader: &mut ReadHalf<'_>,
-    decoder: &mut Decoder,
-    buffer: &mut BytesMut,
-) -> std::io::Result<usize> {
-    match decoder.unread_body().filter(|_| buffer.is_empty()) {
-        Some(mut body) => reader.read_buf(&mut body).await,
-        None => reader.read_buf(buffer).await,
-    }
-}
-
 /// Returns the status with which a malformed request is rejected.
 fn status(malformed: DecodeError) -> u16 {
     match malformed {
--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -16,7 +16,7 @@
 use adapter::response::{self, Response, RunStatus};
 use bytes::{Buf, Bytes, BytesMut};
 use policy::clock::Clock;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::sync::Semaphore;
@@ -336,11 +336,7 @@
             permit = growth.acquire().await.ok();
         }
         grant.resize_when_free(needed).await;
-        let read = match decoder.unread_body().filter(|_| buffer.is_empty()) {
-            Some(mut body) => reader.read_buf(&mut body).await,
-            None => reader.read_buf(&mut buffer).await,
-        };
-        match read {
+        match decoder.read_from(reader, &mut buffer).await {
             Ok(0) => {
                 let mut message = decoder.handle_close().ok_or(Unknown::Disconnected)?;
                 let complete = message.head.framing == Framing::UntilClose;
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -4,10 +4,13 @@
 //! heads. The framing of bodies follows RFC 9112, but everything that two parsers could read
 //! differently is rejected, so that no smuggled request reaches an endpoint.
 
+use std::io;
 use std::ops::RangeInclusive;
 
-use bytes::buf::Limit;
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use crate::buffer::{BodyBuffer, MAX_HEAP_BYTES};
 
 #[cfg(test)]
 mod tests;
@@ -18,9 +21,6 @@
 /// Maximum length of a chunk-size line, extensions included.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
-/// Size up to which a body of unknown size grows step by step.
-const MAX_GROWN_BODY_BYTES: usize = 256 << 10;
-
 /// Statuses of final responses.
 pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -156,7 +156,7 @@
     max_head: usize,
     max_body: usize,
     head: Option<Head>,
-    body: BytesMut,
+    body: BodyBuffer,
     chunk: ChunkState,
     /// Bytes of the trailer section read so far.
     trailer_bytes: usize,
@@ -171,7 +171,7 @@
             max_head,
             max_body,
             head: None,
-            body: BytesMut::new(),
+            body: BodyBuffer::default(),
             chunk: ChunkState::Size,
             trailer_bytes: 0,
         }
@@ -196,14 +196,25 @@
         self.body.len()
     }
 
-    /// Returns where the next bytes of a body with a length can be read to directly, after the
-    /// buffer has been taken.
-    pub fn unread_body(&mut self) -> Option<Limit<&mut BytesMut>> {
-        let Framing::Length(length) = self.head.as_ref()?.framing else {
-            return None;
-        };
-        let missing = length - self.body.len();
-        (missing > 0).then(|| (&mut self.body).limit(missing))
+    /// Reads the next bytes of a message: of a body with a length to the body itself, so that they
+    /// are not copied, else to the buffer. Returns their number, 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the read fails.
+    pub async fn read_from(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+        buffer: &mut BytesMut,
+    ) -> io::Result<usize> {
+        let framing = self.head.as_ref().map(|head| head.framing);
+        match framing {
+            Some(Framing::Length(length)) if buffer.is_empty() && self.body.len() < length => {
+                let missing = length - self.body.len();
+                self.body.read_from(reader, missing).await
+            }
+            _ => reader.read_buf(buffer).await,
+        }
     }
 
     /// Whether the body of the message in progress has been read whole.
@@ -232,14 +243,14 @@
             Framing::Empty => true,
             Framing::Length(length) => {
                 if self.body.is_empty() && buffer.len() >= length {
-                    self.body = buffer.split_to(length);
+                    self.body = buffer.split_to(length).into();
                 } else if is_new {
                     // The caller first sees how much memory the body needs.
                     return Ok(None);
                 } else {
                     // A body that grew would be copied, and held twice meanwhile.
+                    self.body.reserve(length);
                     let missing = length - self.body.len();
-                    self.body.reserve(missing);
                     let part = buffer.split_to(missing.min(buffer.len()));
                     self.body.extend_from_slice(&part);
                 }
@@ -361,12 +372,11 @@
     }
 }
 
-/// Appends to a body whose size is not known. A large one gets the address space of the largest at
-/// once: growing would copy it, and the memory is used only as it is written.
-fn append(body: &mut BytesMut, part: &[u8], max_body: usize) {
-    let length = body.len() + part.len();
-    if length > body.capacity() && length > MAX_GROWN_BODY_BYTES {
-        body.reserve(max_body - body.len());
+/// Appends to a body whose size is not known. A large one gets room for the largest at once: growing
+/// would copy it, and the memory is used only as it is written.
+fn append(body: &mut BodyBuffer, part: &[u8], max_body: usize) {
+    if body.len() + part.len() > MAX_HEAP_BYTES {
+        body.reserve(max_body);
     }
     body.extend_from_slice(part);
 }
