Let responses of unknown size grow beside each other in 16 MiB

Callers would see: an endpoint that sends responses of unknown size above 256 KiB serves only one of them at a time, and the others wait until their deadline.

Cause: the permit that bounds endless bodies applied from 256 KiB on, also to sound responses.

Evidence: with ten responses of 1 MiB, or four of 3 MiB, of which the endpoint has sent the first half, the gate had read the half of one.

The fix works because responses of one endpoint share 16 MiB before they need the permit, of which one takes at most 4 MiB.

--- a/crates/sidecar/src/endpoint.rs
+++ b/crates/sidecar/src/endpoint.rs
@@ -5,8 +5,9 @@
 //! its id.
 //!
 //! A faulty endpoint may send bodies without a length and without an end on all its connections.
-//! Beyond a small size they grow one at a time, so that together they take little more than the
-//! largest allowed body; the others stay unread meanwhile.
+//! Beyond a small size they share a part of the memory; when that is used up, they grow one at a time
+//! and the others stay unread meanwhile. So together they take little more than the largest allowed
+//! body.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 use transport::http1::{Decoder, Framing, Message, MessageKind};
 
@@ -49,8 +50,14 @@
 /// Bytes by which the memory for a response of unknown size grows.
 const GROWTH_BYTES: usize = 256 << 10;
 
-/// Size up to which responses of unknown size grow beside each other.
-const MAX_FREE_GROWTH_BYTES: usize = GROWTH_BYTES;
+/// Memory in which responses of unknown size grow beside each other.
+const SHARED_GROWTH_BYTES: usize = 16 << 20;
+
+/// Unit in which that memory is shared.
+const GROWTH_UNIT_BYTES: usize = 64 << 10;
+
+/// Size up to which a response takes a part of it. Larger ones would leave little to others.
+const MAX_SHARED_BYTES: usize = SHARED_GROWTH_BYTES / 4;
 
 /// Informational responses (1xx) that may precede a response.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
@@ -111,8 +118,8 @@
     idle: RefCell<Vec<Idle>>,
     /// Budget of the responses.
     budget: Arc<Budget>,
-    /// Permit for a response of unknown size to grow beyond [`MAX_FREE_GROWTH_BYTES`].
-    growth: Semaphore,
+    /// Room in which its responses of unknown size grow.
+    growth: Growth,
 }
 
 impl Pool {
@@ -123,7 +130,7 @@
             address,
             idle: RefCell::new(Vec::new()),
             budget,
-            growth: Semaphore::new(1),
+            growth: Growth::new(),
         }
     }
 
@@ -151,7 +158,7 @@
         let grant = self.budget.grant(Kind::Response);
         let room = Room {
             grant,
-            growth: &self.growth,
+            growing: Growing::new(&self.growth),
         };
         let received = transfer(&mut connection.stream, &head, outgoing, room).await;
         match received {
@@ -249,10 +256,69 @@
     matches!(stream.try_read(&mut byte), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
+/// Room in which the responses of unknown size of one endpoint grow.
+#[derive(Debug)]
+struct Growth {
+    /// Units of [`GROWTH_UNIT_BYTES`].
+    shared: Semaphore,
+    /// Permit to grow without units, to the largest allowed size.
+    turn: Semaphore,
+}
+
+impl Growth {
+    fn new() -> Self {
+        Self {
+            shared: Semaphore::new(SHARED_GROWTH_BYTES / GROWTH_UNIT_BYTES),
+            turn: Semaphore::new(1),
+        }
+    }
+}
+
+/// Part of the room that one response has taken.
+#[derive(Debug)]
+struct Growing<'a> {
+    growth: &'a Growth,
+    /// Size that the units suffice for.
+    bytes: usize,
+    units: Option<SemaphorePermit<'a>>,
+    turn: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> Growing<'a> {
+    fn new(growth: &'a Growth) -> Self {
+        Self {
+            growth,
+            bytes: SMALL_BODY_BYTES,
+            units: None,
+            turn: None,
+        }
+    }
+
+    /// Waits until the response may take this much memory.
+    async fn grow(&mut self, bytes: usize) {
+        if bytes <= self.bytes || self.turn.is_some() {
+            return;
+        }
+        let units = (bytes - self.bytes).div_ceil(GROWTH_UNIT_BYTES);
+        // The semaphores are never closed, so that both branches match.
+        tokio::select! {
+            biased;
+            Ok(units) = self.growth.shared.acquire_many(units as u32), if bytes <= MAX_SHARED_BYTES => {
+                self.bytes = bytes;
+                match &mut self.units {
+                    Some(taken) => taken.merge(units),
+                    None => self.units = Some(units),
+                }
+            }
+            Ok(turn) = self.growth.turn.acquire() => self.turn = Some(turn),
+        }
+    }
+}
+
 /// Memory for a response.
 struct Room<'a> {
     grant: Grant,
-    growth: &'a Semaphore,
+    growing: Growing<'a>,
 }
 
 struct Received {
@@ -297,8 +363,10 @@
 
 /// Reads the response with an id; skips a few informational and stray responses.
 async fn receive(reader: &mut ReadHalf<'_>, id: &str, room: Room<'_>) -> Result<Received, Unknown> {
-    let Room { mut grant, growth } = room;
-    let mut permit = None;
+    let Room {
+        mut grant,
+        mut growing,
+    } = room;
     let mut decoder = Decoder::new(MessageKind::Response, MAX_HEAD_BYTES, MAX_BODY_BYTES);
     let mut buffer = BytesMut::with_capacity(8 << 10);
     let mut stray = 0;
@@ -331,9 +399,9 @@
         if needed > grant.largest() {
             return Err(Unknown::Damaged);
         }
-        // Without room, or a permit, the response stays unread, until the deadline of its call.
-        if permit.is_none() && grows_large(&decoder, buffer.len()) {
-            permit = growth.acquire().await.ok();
+        // Without room the response stays unread, until the deadline of its call.
+        if has_unknown_size(&decoder) {
+            growing.grow(needed).await;
         }
         grant.resize_when_free(needed).await;
         match decoder.read_from(reader, &mut buffer).await {
@@ -357,11 +425,10 @@
     }
 }
 
-/// Whether a response of unknown size has grown so large that it needs a permit to grow further.
-fn grows_large(decoder: &Decoder, buffered: usize) -> bool {
+/// Whether a body is being received whose size is not stated.
+fn has_unknown_size(decoder: &Decoder) -> bool {
     let framing = decoder.pending().map(|head| head.framing);
     matches!(framing, Some(Framing::Chunked | Framing::UntilClose))
-        && decoder.held_bytes() + buffered > MAX_FREE_GROWTH_BYTES
 }
 
 /// Returns the memory that the next bytes of a response need: for the whole body if its size is
