--- a/crates/transport/src/buffer.rs
+++ b/crates/transport/src/buffer.rs
@@ -3,13 +3,20 @@
 //! A large body is kept in a memory map of its own. The allocator may keep memory that has been freed
 //! for a second, or give it to a body that fills little of it; either way the process uses more
 //! memory than it holds bodies. A map uses what has been written to it, and nothing once it is dropped.
+//! Without the feature `maps` all bodies are kept in memory of the allocator.
 
 use std::io;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use memmap2::{MmapMut, MmapOptions};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+use map::Map;
+
+#[cfg(feature = "maps")]
+mod map;
+#[cfg(not(feature = "maps"))]
+#[path = "buffer/no_map.rs"]
+mod map;
 #[cfg(test)]
 mod tests;
 
@@ -26,36 +33,6 @@
     Map(Map),
 }
 
-/// A memory map and the number of bytes that have been written to its start.
-#[derive(Debug)]
-struct Map {
-    bytes: MmapMut,
-    length: usize,
-}
-
-impl Map {
-    /// Returns a map with room for this many bytes, or `None` if the system has none.
-    fn new(room: usize, start: &[u8]) -> Option<Self> {
-        let mut options = MmapOptions::new();
-        let bytes = options.len(room).no_reserve_swap().map_anon().ok()?;
-        let mut map = Self { bytes, length: 0 };
-        map.push(start);
-        Some(map)
-    }
-
-    fn push(&mut self, part: &[u8]) {
-        let end = self.length + part.len();
-        self.bytes[self.length..end].copy_from_slice(part);
-        self.length = end;
-    }
-}
-
-impl AsRef<[u8]> for Map {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes[..self.length]
-    }
-}
-
 impl Default for BodyBuffer {
     fn default() -> Self {
         Self::from(BytesMut::new())
@@ -93,7 +70,7 @@
     fn room(&self) -> usize {
         match &self.0 {
             Storage::Heap(bytes) => bytes.capacity(),
-            Storage::Map(map) => map.bytes.len(),
+            Storage::Map(map) => map.room(),
         }
     }
 
@@ -115,7 +92,7 @@
     pub fn extend_from_slice(&mut self, part: &[u8]) {
         match &mut self.0 {
             Storage::Heap(bytes) => bytes.extend_from_slice(part),
-            Storage::Map(map) if map.length + part.len() <= map.bytes.len() => map.push(part),
+            Storage::Map(map) if part.len() <= map.room() - map.as_ref().len() => map.push(part),
             Storage::Map(map) => {
                 let mut bytes = BytesMut::from(map.as_ref());
                 bytes.extend_from_slice(part);
@@ -136,10 +113,11 @@
         limit: usize,
     ) -> io::Result<usize> {
         match &mut self.0 {
-            Storage::Map(map) if map.length < map.bytes.len() => {
-                let end = map.bytes.len().min(map.length + limit);
-                let count = reader.read(&mut map.bytes[map.length..end]).await?;
-                map.length += count;
+            Storage::Map(map) if map.as_ref().len() < map.room() => {
+                let unused = map.unused();
+                let limit = limit.min(unused.len());
+                let count = reader.read(&mut unused[..limit]).await?;
+                map.advance(count);
                 Ok(count)
             }
             Storage::Map(map) => {
