--- a/crates/sidecar/src/discovery/departure_tests.rs
+++ b/crates/sidecar/src/discovery/departure_tests.rs
@@ -261,6 +261,44 @@
         .await;
 }
 
+/// Guards against a departure that each daemon forgets in its turn, because it learned of it from one
+/// that has been killed since.
+#[rstest]
+#[tokio::test]
+async fn an_acknowledged_departure_outlasts_kills_one_after_another(
+    #[values(0, 1)] message: usize,
+    #[values(false, true)] other_first: bool,
+) {
+    LocalSet::new()
+        .run_until(async move {
+            let (store, address) = start_store();
+            let mut other = start_other(address).await;
+            let mut own = Process::start("vm-1", address);
+            announce_ready(&own.daemon, 1);
+            sleep(BOUND).await;
+            assert!(own.announce(&departures()[message]).await);
+            for turn in 0..4 {
+                if (turn % 2 == 0) == other_first {
+                    other.kill();
+                    other = Process::start("vm-2", address);
+                } else {
+                    own.kill();
+                    own = Process::start("vm-1", address);
+                }
+                sleep(BOUND / 2).await;
+            }
+            announce_ready(&own.daemon, 8);
+            sleep(BOUND).await;
+            assert_ne!(known_state(&own.daemon), Some(State::Ready));
+            assert_ne!(stored_state(&store), Some(State::Ready));
+            let fleet = other.daemon.fleet.borrow();
+            let ready = fleet.entries().map(|(entry, _)| entry);
+            let ready = ready.filter(|entry| entry.endpoint.state == State::Ready);
+            assert!(ready.map(|entry| &*entry.vm).all(|vm| vm != "vm-1"));
+        })
+        .await;
+}
+
 /// Guards against a departure that is forgotten in an outage of the store although another daemon
 /// was spared by the kill: it is not acknowledged, but a restarted daemon should follow it.
 #[rstest]
