Reserve room for a body whose head arrived alone

A body with a stated length that began in a later packet than its head was read without room and grew by copies in memory of the allocator, up to one and a half times its size. Its room is now reserved before the first byte is read, as for a body that begins with its head; callers have granted it by then. Found by reading, no fault was seen. The full map in a buffer is handled in one place.

--- a/crates/transport/src/buffer.rs
+++ b/crates/transport/src/buffer.rs
@@ -80,24 +80,18 @@
             return;
         }
         let map = (total > MAX_HEAP_BYTES).then(|| Map::new(total, self.as_ref()));
-        match (map.flatten(), &mut self.0) {
-            (Some(map), _) => self.0 = Storage::Map(map),
-            (None, Storage::Heap(bytes)) => bytes.reserve(total - bytes.len()),
-            // `extend_from_slice` copies a full map to the heap.
-            (None, Storage::Map(_)) => {}
+        if let Some(map) = map.flatten() {
+            self.0 = Storage::Map(map);
+        } else if let Storage::Heap(bytes) = &mut self.0 {
+            bytes.reserve(total - bytes.len());
         }
     }
 
     /// Appends a part.
     pub fn extend_from_slice(&mut self, part: &[u8]) {
         match &mut self.0 {
-            Storage::Heap(bytes) => bytes.extend_from_slice(part),
             Storage::Map(map) if part.len() <= map.room() - map.as_ref().len() => map.push(part),
-            Storage::Map(map) => {
-                let mut bytes = BytesMut::from(map.as_ref());
-                bytes.extend_from_slice(part);
-                self.0 = Storage::Heap(bytes);
-            }
+            _ => self.heap().extend_from_slice(part),
         }
     }
 
@@ -120,11 +114,18 @@
                 map.advance(count);
                 Ok(count)
             }
-            Storage::Map(map) => {
-                self.0 = Storage::Heap(BytesMut::from(map.as_ref()));
-                Box::pin(self.read_from(reader, limit)).await
-            }
-            Storage::Heap(bytes) => reader.read_buf(&mut bytes.limit(limit)).await,
+            _ => reader.read_buf(&mut self.heap().limit(limit)).await,
+        }
+    }
+
+    /// Returns the body in memory of the allocator. A map that is too small is copied there.
+    fn heap(&mut self) -> &mut BytesMut {
+        if let Storage::Map(map) = &self.0 {
+            self.0 = Storage::Heap(BytesMut::from(map.as_ref()));
+        }
+        match &mut self.0 {
+            Storage::Heap(bytes) => bytes,
+            Storage::Map(_) => unreachable!("the map has been replaced"),
         }
     }
 
--- a/crates/transport/src/http1.rs
+++ b/crates/transport/src/http1.rs
@@ -210,6 +210,8 @@
         let framing = self.head.as_ref().map(|head| head.framing);
         match framing {
             Some(Framing::Length(length)) if buffer.is_empty() && self.body.len() < length => {
+                // A body that grew would be copied, and held twice meanwhile.
+                self.body.reserve(length);
                 let missing = length - self.body.len();
                 self.body.read_from(reader, missing).await
             }
@@ -248,7 +250,6 @@
                     // The caller first sees how much memory the body needs.
                     return Ok(None);
                 } else {
-                    // A body that grew would be copied, and held twice meanwhile.
                     self.body.reserve(length);
                     let missing = length - self.body.len();
                     let part = buffer.split_to(missing.min(buffer.len()));
