--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -396,7 +396,8 @@
         }
         let body = client::response_body(&received.id, &message.head, &message.body);
         let mut response = standin::encode_signed(status, &received.id, body.len());
-        if matches!(self.fault.get(), None | Some(Fault::Slow)) {
+        // A whole, signed response without the limit would end it.
+        if matches!(self.fault.get(), None | Some(Fault::Slow | Fault::Doubled)) {
             self.insert_statement(&mut response);
         }
         response.extend_from_slice(&body);
