--- a/crates/policy/src/quota/tests.rs
+++ b/crates/policy/src/quota/tests.rs
@@ -398,6 +398,36 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: histories() / 4, ..ProptestConfig::default() })]
+
+    /// Guards against owners that forget, each in its turn, what an earlier one granted.
+    #[test]
+    fn the_sum_stays_under_the_bound_when_all_are_killed_one_after_another(
+        seed: u64,
+        count in 3_usize..20,
+        rate in prop::sample::select(vec![2.0, 10.0, 60.0, 250.0]),
+        pause in 100_u64..1_500,
+        down in 100_u64..2_500,
+        rates in prop::array::uniform4(prop::sample::select(vec![0.0, 0.03, 0.1])),
+    ) {
+        let [loss, freezes, partitions, changes] = rates;
+        let faults = Faults { loss, freezes, partitions, changes, ..NONE };
+        let quota = Quota { rate, burst: rate };
+        let mut simulation = Simulation::new(seed, count, quota, 3.0, faults);
+        simulation.run(12_000);
+        for _ in 0..2 {
+            for index in 0..count {
+                simulation.kill(index, down);
+                simulation.run(pause);
+            }
+        }
+        simulation.run(12_000);
+        let excess = simulation.excess();
+        prop_assert!(excess <= 0.0, "{excess} above the bound");
+    }
+}
+
 /// Returns the refused fractions in each of the next seconds.
 fn refused_in_each_second(simulation: &mut Simulation) -> [f64; 8] {
     std::array::from_fn(|_| {
