--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # review/build-3.sh before.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/release/review-standin-3 stale-configuration review/12/record.txt
+exec target/review-3/release/review-standin-3 two-owners review/12/record.txt
