--- a/review/standin-3/src/configuration.rs
+++ b/review/standin-3/src/configuration.rs
@@ -88,7 +88,7 @@
             let (vm, ends) = (Arc::clone(vm), Arc::clone(&ends));
             thread::spawn(move || {
                 while !ends.load(Ordering::Relaxed) {
-                    vm.request("GET", HOST, "/catalogo/2f", 3_000, None);
+                    vm.request("GET", HOST, "/catalogo/2f", 3_000, None, &[]);
                     thread::sleep(Duration::from_millis(100));
                 }
             })
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -27,15 +27,30 @@
         self.line.split(' ').nth(index).unwrap_or("")
     }
 
+    /// Returns the stated length of the body.
+    pub fn length(&self) -> usize {
+        let text = self.field("content-length");
+        text.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the status of a response.
     pub fn status(&self) -> u16 {
         self.word(1).parse().unwrap_or(0)
     }
 }
 
-/// Reads a message with a stated length, or one that ends with its connection if it is a response
-/// without a length; `None` at the end of the stream.
+/// Reads a message with a stated length, or without a body; `None` at the end of the stream.
 pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(reader)? else {
+        return Ok(None);
+    };
+    message.body = vec![0; message.length()];
+    reader.read_exact(&mut message.body)?;
+    Ok(Some(message))
+}
+
+/// Reads a message without its body; `None` at the end of the stream.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
     let mut message = Message::default();
     if reader.read_line(&mut message.line)? == 0 {
         return Ok(None);
@@ -54,11 +69,6 @@
         let field = (name.to_ascii_lowercase(), value.trim().to_owned());
         message.fields.push(field);
     }
-    let length = message
-        .field("content-length")
-        .and_then(|text| text.parse().ok());
-    message.body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut message.body)?;
     Ok(Some(message))
 }
 
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -9,6 +9,7 @@
 mod quota;
 mod record;
 mod store;
+mod uploads;
 mod vm;
 
 use std::path::{Path, PathBuf};
@@ -71,6 +72,7 @@
     };
     let outcome = match case.as_str() {
         "stale-configuration" => configuration::run(&context),
+        "paused-upstream" => uploads::run(&context),
         "two-owners" => quota::run(&context, quota::Trouble::Store),
         "cut-owner" => quota::run(&context, quota::Trouble::Cut),
         _ => Err(format!("there is no case {case}").into()),
--- a/review/standin-3/src/quota.rs
+++ b/review/standin-3/src/quota.rs
@@ -118,7 +118,7 @@
             thread::spawn(move || {
                 thread::sleep(interval.mul_f64(f64::from(number) / 7.0));
                 while !ends.load(Ordering::Relaxed) {
-                    vm.request("GET", HOST, "/weekly/2f", 3_000, Some(KEY));
+                    vm.request("GET", HOST, "/weekly/2f", 3_000, Some(KEY), &[]);
                     thread::sleep(interval);
                 }
             })
--- a/review/standin-3/src/vm.rs
+++ b/review/standin-3/src/vm.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fs;
-use std::io::{self, BufReader};
+use std::io::{self, BufReader, Read};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -21,6 +21,9 @@
 /// Time between the heartbeats of an endpoint.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
+/// Part of a body that an endpoint reads at once.
+const FIRST_PART_BYTES: usize = 64 << 10;
+
 /// Ports on the address of each VM, the same on all.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports([u16; 8]);
@@ -68,8 +71,8 @@
 pub struct Behaviour {
     /// Time that a request takes.
     pub work: Duration,
-    /// Value of `Server-Limit` in its answers.
-    pub limit: Mutex<Option<String>>,
+    /// Time for which it stops reading a body after its first part.
+    pub pause: Duration,
 }
 
 /// Bounds and limits in the settings.
@@ -301,7 +304,7 @@
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
-        while let Some(request) = http::read(&mut reader)? {
+        while let Some(request) = http::read_head(&mut reader)? {
             let instance = format!("i-{}", self.name);
             let mut fields = vec![("X-Sapphiredoor-Instance-Id", instance.clone())];
             let Some(id) = request.field("x-sapphiredoor-attempt-id") else {
@@ -321,19 +324,44 @@
                 continue;
             }
             self.record.ran(id, &self.service, &self.name);
+            if let Err(error) = self.read_body(&mut reader, request.length()) {
+                self.record.note(format!(
+                    "endpoint {instance} at work on {id}, broken off: {error}"
+                ));
+                return Err(error);
+            }
             thread::sleep(self.behaviour.work);
             fields.push(("X-Sapphiredoor-Server-Seal", format!("seal.{id}")));
             fields.push(("X-Sapphiredoor-Instance-Load", "1,0,100".to_owned()));
             fields.push(("Keep-Alive", "timeout=10".to_owned()));
-            if let Some(limit) = &*self.behaviour.limit.lock().unwrap() {
-                fields.push(("Server-Limit", limit.clone()));
-            }
             let body = format!("{} {id}", self.service);
             http::write(&mut writer, "HTTP/1.1 200 OK", &fields, body.as_bytes())?;
         }
         Ok(())
     }
 
+    /// Reads a body, with a pause after its first part.
+    fn read_body(&self, reader: &mut BufReader<TcpStream>, length: usize) -> io::Result<()> {
+        let mut first = vec![0; length.min(FIRST_PART_BYTES)];
+        reader.read_exact(&mut first)?;
+        if length > first.len() {
+            thread::sleep(self.behaviour.pause);
+        }
+        let mut rest = vec![0; length - first.len()];
+        reader.read_exact(&mut rest)
+    }
+
+    /// Sends SIGTERM to the daemon.
+    pub fn terminate(&self) {
+        if let Some(child) = &*self.daemon.lock().unwrap() {
+            let id = child.id().to_string();
+            let sent = Command::new("kill").args(["-TERM", &id]).status();
+            let sent = sent.is_ok_and(|status| status.success());
+            self.record
+                .note(format!("daemon   SIGTERM to {}, sent {sent}", self.name));
+        }
+    }
+
     /// Sends a request of a client of this VM; returns its id and the status, 0 without an answer.
     pub fn request(
         &self,
@@ -342,6 +370,7 @@
         path: &str,
         deadline_ms: u64,
         key: Option<&str>,
+        body: &[u8],
     ) -> (String, u16) {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("{:08x}{number:08x}", u32::from(self.index));
@@ -356,7 +385,7 @@
         let at = self.record.now();
         let line = format!("{method} {path} HTTP/1.1");
         let timeout = Duration::from_millis(deadline_ms);
-        let answer = http::call(self.address(0), &line, &fields, &[], timeout);
+        let answer = http::call(self.address(0), &line, &fields, body, timeout);
         let status = answer.map_or(0, |answer| answer.status());
         self.record.answered(at, &id, &self.name, status);
         (id, status)
