--- a/review/standin-3/src/quota.rs
+++ b/review/standin-3/src/quota.rs
@@ -35,7 +35,7 @@
 const KEY: &str = "uakn2ftimaj3nr26tta8";
 
 /// Of the VMs below, the fourth one has the highest hash for this organisation, then the first one.
-const ORGANISATION: &str = "pulo713";
+const ORGANISATION: &str = "pulo724";
 
 fn bounds() -> Bounds {
     Bounds(json!({
@@ -69,7 +69,7 @@
 /// Runs the case.
 pub fn run(context: &Context, trouble: Trouble) -> Outcome {
     let record = &context.record;
-    let network = Network::find(4)?;
+    let network = Network::find(6)?;
     let store = Store::start(Arc::clone(record));
     let vm = |index: u8, name: &str, zone: &str| {
         let behaviour = Behaviour {
@@ -93,7 +93,9 @@
     let second = vm(2, "sidecar-bergen-b-1", "bergen-b")?;
     let third = vm(3, "sidecar-forde-1", "forde")?;
     let fourth = vm(4, "sidecar-alesund-1", "alesund")?;
-    let vms = [&first, &second, &third, &fourth];
+    let fifth = vm(5, "sidecar-bergen-a-2", "bergen-a")?;
+    let sixth = vm(6, "sidecar-bergen-b-2", "bergen-b")?;
+    let vms = [&first, &second, &third, &fourth, &fifth, &sixth];
     let _stop = Stop(vms.map(Arc::clone).to_vec());
     let links = Links::new(&vms.map(|vm| vm.name.as_str()));
     if trouble == Trouble::Cut {
@@ -102,11 +104,11 @@
         }
     }
     store.write_as_operator("op/config", &configuration());
-    for vm in [&first, &second] {
+    for vm in [&first, &second, &fifth, &sixth] {
         vm.start()?;
         vm.announce();
     }
-    wait_ready(&[&first, &second])?;
+    wait_ready(&[&first, &second, &fifth, &sixth])?;
 
     let ends = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = [&first, &second]
